--- /dev/null
+++ b/src/policy.cpp
@@ -0,0 +1,875 @@
+// gannetcourse's decision module: every decision, table and tuned value. Its interface, with the meaning of
+// each setting, event and action, is include/gannetcourse/policy.h; docs/design.md tells why it is so.
+//
+// The ordinary path is FlowKV's load-aware scheduler: a load score for each server, a reader by least time to
+// first token, and after the read a writer by least transfer time and wait. The rest guards that path.
+
+#include "gannetcourse/policy.h"
+
+#include <algorithm>
+#include <cmath>
+#include <deque>
+#include <map>
+#include <unordered_map>
+#include <utility>
+
+namespace gannetcourse {
+namespace {
+
+// ---- Tuned values. Times in seconds. ----
+constexpr double kSweep = 0.02;           // period of the housekeeping timer
+constexpr double kScoreWindow = 2;        // smoothing of the load score's indicators
+constexpr double kReportFresh = 3;        // a load report older than this says nothing
+constexpr double kForget = 8;             // learned figures fade towards their peers' over this
+constexpr double kMemory = 5;             // samples that a learned figure averages over
+constexpr double kPriorWeight = 0.5;      // samples that the peers' figure counts for
+constexpr double kReadPrior = 1e-4;       // reading, a token
+constexpr double kReadFloorTokens = 300;  // a read's fixed cost, as tokens
+constexpr double kWaitPrior = 0.05;       // a writer's wait before the first token
+constexpr double kLinkPrior[] = {5e-6, 2e-5,
+                                 4e-5};   // moving a state, a token: in a cell, a zone, across zones
+constexpr double kFarBias = 0.02;         // prices of leaving the cell or the zone, as time
+constexpr double kKeepFor = 120;          // ageing of the prefix table
+constexpr std::size_t kMostKept = 50000;  // its entries before old ones are dropped
+constexpr double kNearlyFull = 0.9;       // a writer's memory share from which it yields
+constexpr double kYield = 0.3;            // cost of a writer that should yield
+constexpr double kRecent = 1.5;           // how long a send is taken not to show in the reports yet
+constexpr double kMostFilled = 0.97;      // writers' memory share up to which requests are let in
+constexpr double kMostFilledOver = 0.75;  // ... those beyond their tenant's share
+constexpr double kTimeoutFactor = 3;      // a time-out against the time expected of the work
+constexpr double kTimeoutFloor = 0.3;
+constexpr double kTryShare = 0.6;      // of the time left that one attempt may take while others could follow
+constexpr double kEjectAt = 0.5;       // failure level that ejects a server
+constexpr double kFailureStep = 0.34;  // what one outcome moves it
+constexpr double kEjectFirst = 1;      // ejection time, doubled at each further one ...
+constexpr double kEjectMost = 8;       // ... up to this
+constexpr double kStrikesForgotten = 15;  // healthy time that clears the doubling
+constexpr double kFullPause = 0.15;       // a server that refused for a full queue is passed over for this
+constexpr double kColdSafety = 0.6;       // share of the cold budget that is used
+constexpr double kProbeBudget = 0.004;    // result that probing may cost
+constexpr double kAskAgain = 0.7;         // pause after a failed discovery call
+
+double sec(Duration d) { return d.count(); }
+
+// A figure learned from samples: recent ones count most, and without new ones it fades towards `prior`.
+class Learned {
+ public:
+  void add(double sample, double now) {
+    weight_ = std::min(weightAt(now) + 1, kMemory);
+    value_ += (sample - value_) / weight_;
+    at_ = now;
+  }
+  double get(double now, double prior) const {
+    const double weight = weightAt(now);
+    return (value_ * weight + prior * kPriorWeight) / (weight + kPriorWeight);
+  }
+  bool known(double now) const { return weightAt(now) > kPriorWeight; }
+
+ private:
+  double weightAt(double now) const { return weight_ * std::exp((at_ - now) / kForget); }
+  double value_ = 0, weight_ = 0, at_ = 0;
+};
+
+struct Server {
+  ServerEntry entry;
+  int generation = 0;  // counts restarts: what an earlier process kept is gone
+  // Our own record of work out.
+  int reading = 0, waiting = 0, streaming = 0, sending = 0;
+  double queuedTokens = 0, heldTokens = 0;  // prompt tokens to read; tokens of our states and streams
+  double recentTokens = 0, recentAt = 0;    // sent lately, fading: not in its reports yet
+  double overdue = 0;                       // how far its oldest unanswered attempt is past what was expected
+  // What it reports and how it did.
+  LoadReport report;
+  double reportAt = -1e9, foreignTokens = 0;  // prompt tokens that others have queued there
+  double score = 0.5;
+  Learned readCost, wait, pace, trust;  // trust: share of the credited prompt tokens found kept
+  // Health.
+  double failures = 0, ejectedUntil = -1e9, fullUntil = -1e9;
+  int strikes = 0;
+  bool trial = false, lostContact = false;
+  double coldSince = -1e9;
+  std::deque<std::pair<double, double>> coldSends;  // time and weight of the sends within the cold window
+  double nextProbe = 0;
+
+  bool serving() const { return entry.state == ServerEntry::State::kServing; }
+  bool reads() const { return entry.role == Role::kPrefill; }
+  int unanswered() const { return reading + waiting; }
+  int out() const { return reading + waiting + streaming; }
+};
+
+enum class Stage { kQueued, kReading, kHolding, kWriting, kStreaming };
+
+struct Request {
+  RequestArrived ask;
+  double arrived = 0, deadline = 0, aimAt = 0;
+  bool overShare = false, answered = false;
+  Stage stage = Stage::kQueued;
+  int sends = 0, timeouts = 0, writerFailures = 0;
+  bool out = false, whole = false;  // an attempt is out; it reads and writes in one place
+  ServerId server;                  // of the attempt that is out or was last
+  double sentAt = 0, expected = 0, readTokens = 0, credit = 0, need = 0, transfer = 0, streamAt = 0;
+  ServerId reader;  // where the state waits
+  double heldSince = 0;
+  bool mayHaveRun = false;  // some attempt may have had its effect ...
+  double firstRunAt = 0;    // ... the first was sent then, to this zone and cell
+  std::uint32_t runZone = 0, runCell = 0;
+  std::vector<ServerId> failedOn;
+};
+
+struct Kept {
+  ServerId server;
+  int generation;
+  double tokens, at;
+};
+
+struct Bucket {
+  double tokens = 0, at = 0;
+};
+
+}  // namespace
+
+class Policy::Impl {
+ public:
+  explicit Impl(Settings settings) : set_(std::move(settings)), random_(set_.seed | 1) {
+    for (const TenantSettings& t : set_.tenants) buckets_.push_back({2 * t.quotaPerSecond / set_.nodes, 0});
+  }
+
+  void handle(Instant now, const Event& event, std::vector<Action>& actions) {
+    now_ = now.time_since_epoch().count();
+    out_ = &actions;
+    std::visit([this](const auto& e) { on(e); }, event);
+    for (const RequestId& id : ended_) requests_.erase(id);
+    ended_.clear();
+  }
+
+ private:
+  // ---- Events ----
+  void on(const ServerList& list) {
+    const bool first = !started_;
+    started_ = true;
+    if (list.scope == ServerList::Scope::kFailed) {
+      askAt_ = now_ + kAskAgain * (0.5 + draw());
+    } else {
+      if (list.scope != ServerList::Scope::kChanges) {
+        for (auto& [id, s] : servers_) s.entry.state = ServerEntry::State::kGone;
+      }
+      for (const ServerEntry& entry : list.entries) learnEntry(entry);
+    }
+    if (!first) return;
+    if (set_.askDiscovery) act(SubscribeServers{});
+    sweep();
+  }
+
+  void learnEntry(const ServerEntry& entry) {
+    const auto [it, added] = servers_.try_emplace(entry.id);
+    Server& s = it->second;
+    const bool restarted = entry.startedAt && (added || entry.startedAt != s.entry.startedAt);
+    if (added) s.nextProbe = now_ + draw() * 0.5;
+    if (restarted && !added) {  // an empty, cold process: nothing learned of the last one holds
+      ++s.generation;
+      s.failures = s.foreignTokens = 0;
+      s.report = {};
+      s.readCost = s.wait = s.pace = s.trust = {};
+      s.trial = s.lostContact = false;
+      s.ejectedUntil = -1e9;
+    }
+    if (restarted) s.coldSince = std::max(s.coldSince, entry.startedAt->time_since_epoch().count());
+    s.entry = entry;
+  }
+
+  void on(const RequestArrived& ask) {
+    Request& r = requests_[ask.id];
+    r.ask = ask;
+    r.arrived = now_;
+    const ClassSettings& c = classOf(r);
+    r.deadline = now_ + sec(ask.timeLeft);
+    r.aimAt = std::min(r.deadline, now_ + sec(c.aim) + sec(c.aimPerToken) * ask.promptTokens);
+    r.need = ask.promptTokens + expectedOutput(r);
+    r.overShare = !withinShare(ask);
+    arrivals_.first += 1;
+    meanPrompt_.add(ask.promptTokens, now_);
+    if (!dispatch(r)) queue_.push_back(ask.id);
+  }
+
+  void on(const AttemptEnded& e) {
+    if (e.load) learnReport(e.server, *e.load);
+    const auto it = requests_.find(e.id);
+    if (it == requests_.end() || !it->second.out) return;
+    Request& r = it->second;
+    const bool wasStreaming = r.stage == Stage::kStreaming;
+    learnOutcome(r, e);
+    closeAttempt(r);
+    if (e.requestOver || r.answered) {
+      // A state that came after the end, or one left by a failed attempt, must not stay pinned.
+      if (e.outcome != Outcome::kOk) act(Release{e.id});
+      requests_.erase(it);
+    } else if (e.outcome == Outcome::kPrefilled) {
+      r.reader = e.server;
+      r.heldSince = now_;
+      r.stage = Stage::kHolding;
+      r.writerFailures = 0;
+      pickWriterOrHold(r);
+    } else {
+      onFailure(r, e, wasStreaming);
+    }
+  }
+
+  void on(const StreamStarted& e) {
+    const auto it = requests_.find(e.id);
+    if (it == requests_.end() || !it->second.out || it->second.stage == Stage::kStreaming) return;
+    Request& r = it->second;
+    Server& s = servers_[e.server];
+    learnFirstToken(r, s);
+    releaseReader(r);
+    s.queuedTokens -= r.readTokens;
+    r.readTokens = 0;
+    (r.stage == Stage::kReading ? s.reading : s.waiting) -= 1;
+    s.streaming += 1;
+    r.stage = Stage::kStreaming;
+    r.streamAt = now_;
+    recovered(s);
+  }
+
+  void on(const ProbeEnded& e) {
+    if (e.load) learnReport(e.server, *e.load);
+    const auto it = servers_.find(e.server);
+    // A probe that waits too long may only stand in a queue; one that cannot connect is a sign of illness.
+    if (it != servers_.end() && e.outcome == Outcome::kConnectFailed) blame(it->second, e.outcome);
+  }
+
+  void on(const HoldAnswered&) {}  // places are not held ahead: the writer is picked after the read
+
+  void on(const TimerFired&) { sweep(); }  // the one timer: the host may round its time
+
+  void on(const ClientGone& e) {
+    const auto it = requests_.find(e.id);
+    if (it == requests_.end() || it->second.answered) return;
+    Request& r = it->second;
+    r.answered = true;
+    letGo(r);
+    if (!r.out) requests_.erase(it);
+  }
+
+  // ---- Housekeeping ----
+  void sweep() {
+    act(SetTimer{Instant(Duration(now_ + kSweep)), "sweep"});
+    watchAttempts();
+    updateScores();
+    endOverdue();
+    retryHeld();
+    drainQueue();
+    probeServers();
+    if (askAt_ > 0 && now_ >= askAt_) {
+      askAt_ = 0;
+      act(SubscribeServers{});
+    }
+    std::erase_if(servers_, [](const auto& entry) {
+      return entry.second.entry.state == ServerEntry::State::kGone &&
+             entry.second.out() + entry.second.sending == 0;
+    });
+    if (kept_.size() > kMostKept) {
+      std::erase_if(kept_, [this](const auto& e) { return e.second.back().at < now_ - kKeepFor / 2; });
+    }
+  }
+
+  // Guards against silence: a server whose work is out for much longer than expected is avoided before any
+  // time-out tells so. Also catches stalls and crawling links; a burst of long prompts may trip it briefly.
+  void watchAttempts() {
+    for (auto& [id, s] : servers_) s.overdue = 0;
+    for (auto& [id, r] : requests_) {
+      if (!r.out || r.stage == Stage::kStreaming) continue;
+      Server& s = servers_[r.server];
+      s.overdue = std::max(s.overdue, now_ - r.sentAt - 1.5 * r.expected - 0.05);
+    }
+  }
+
+  // Every request has its answer before the client's time is up, whatever is out for it.
+  void endOverdue() {
+    const double margin = kSweep + 2 * sec(set_.tick) + 0.002;
+    std::vector<RequestId> late;
+    for (const auto& [id, r] : requests_) {
+      if (!r.answered && r.stage != Stage::kStreaming && now_ + margin >= r.deadline) late.push_back(id);
+    }
+    for (const RequestId& id : late) finish(requests_.at(id));
+  }
+
+  void retryHeld() {
+    std::vector<RequestId> held;
+    for (const auto& [id, r] : requests_) {
+      if (!r.answered && r.stage == Stage::kHolding && !r.out) held.push_back(id);
+    }
+    for (const RequestId& id : held) pickWriterOrHold(requests_.at(id));
+  }
+
+  void drainQueue() {
+    std::deque<RequestId> queue;
+    queue.swap(queue_);
+    for (const RequestId& id : queue) {
+      const auto it = requests_.find(id);
+      if (it == requests_.end() || it->second.answered || it->second.stage != Stage::kQueued) continue;
+      if (!dispatch(it->second)) queue_.push_back(id);
+    }
+  }
+
+  // Probes serve the load reports. Their rate keeps what they cost under a fixed part of the result.
+  void probeServers() {
+    const double span = 5;
+    arrivals_.first *= std::exp((arrivals_.second - now_) / span);
+    arrivals_.second = now_;
+    if (!set_.probesAllowed || set_.reporting == Reporting::kNone) return;
+    const double rate = std::max(arrivals_.first / span, 0.5);
+    const double each = static_cast<double>(servers_.size()) * set_.probePrice / (kProbeBudget * rate);
+    const double interval = std::clamp(each, 0.4, 5.0);
+    for (auto& [id, s] : servers_) {
+      if (!s.serving() || now_ < s.nextProbe) continue;
+      s.nextProbe = now_ + interval;
+      act(Probe{id});
+    }
+  }
+
+  // ---- The load score ----
+  // Equal weights over the indicators at hand, each brought to 0..1 and smoothed; an indicator that a server
+  // has not told counts as the average of its role.
+  void updateScores() {
+    const double step = 1 - std::exp(-(now_ - scoredAt_) / kScoreWindow);
+    scoredAt_ = now_;
+    for (const Role role : {Role::kPrefill, Role::kDecode, Role::kMixed}) {
+      double count = 0, waiting = 0, running = 0, sending = 0, memory = 0, memories = 0, busy = 0, busies = 0;
+      for (const auto& [id, s] : servers_) {
+        if (s.entry.role != role || !s.serving()) continue;
+        count += 1;
+        waiting += s.waiting + s.reading;
+        running += s.streaming;
+        sending += s.sending;
+        if (fresh(s) && s.report.memoryShare) memory += *s.report.memoryShare, memories += 1;
+        if (fresh(s) && s.report.busyShare) busy += *s.report.busyShare, busies += 1;
+      }
+      const auto share = [&](double mine, double all) { return all > 0 ? mine / (mine + all / count) : 0.5; };
+      for (auto& [id, s] : servers_) {
+        if (s.entry.role != role || !s.serving()) continue;
+        double sum =
+            share(s.waiting + s.reading, waiting) + share(s.streaming, running) + share(s.sending, sending);
+        double terms = 3;
+        if (memories > 0)
+          sum += fresh(s) ? s.report.memoryShare.value_or(memory / memories) : memory / memories, ++terms;
+        if (busies > 0) sum += fresh(s) ? s.report.busyShare.value_or(busy / busies) : busy / busies, ++terms;
+        s.score += (sum / terms - s.score) * step;
+      }
+    }
+    readPrior_ = median(Role::kPrefill, &Server::readCost, kReadPrior);
+    waitPrior_ = median(Role::kDecode, &Server::wait, kWaitPrior);
+    pacePrior_ = median(Role::kDecode, &Server::pace, 1);
+  }
+
+  double median(Role role, Learned Server::*figure, double otherwise) const {
+    std::vector<double> values;
+    for (const auto& [id, s] : servers_) {
+      const bool fits = s.entry.role == role || s.entry.role == Role::kMixed;
+      if (fits && s.serving() && (s.*figure).known(now_)) values.push_back((s.*figure).get(now_, otherwise));
+    }
+    if (values.empty()) return otherwise;
+    std::nth_element(values.begin(), values.begin() + static_cast<long>(values.size() / 2), values.end());
+    return values[values.size() / 2];
+  }
+
+  bool fresh(const Server& s) const { return now_ - s.reportAt < kReportFresh; }
+
+  // ---- Estimates ----
+  double readTime(const Server& s, double tokens) const {
+    const double queued = s.queuedTokens + s.foreignTokens * std::exp((s.reportAt - now_) / kScoreWindow);
+    return s.readCost.get(now_, readPrior_) * (queued + tokens + kReadFloorTokens);
+  }
+
+  double ill(const Server& s) const { return s.failures + std::max(0.0, s.overdue); }
+
+  static int linkKind(const Server& from, const Server& to) {
+    if (from.entry.zone != to.entry.zone) return 2;
+    return from.entry.cell == to.entry.cell ? 0 : 1;
+  }
+
+  double transferTime(const Server& from, const Server& to, double tokens) const {
+    const int kind = linkKind(from, to);
+    const auto it = links_.find({from.entry.cell, kind});
+    const double rate = it == links_.end() ? kLinkPrior[kind] : it->second.get(now_, kLinkPrior[kind]);
+    return rate * tokens + kFarBias * kind;
+  }
+
+  // Share of a writer's memory that is held: as reported and what was sent since, or by our own record as
+  // if every node sent as much as we do.
+  double filled(const Server& s) const {
+    const double slots = fresh(s) ? s.report.busyShare.value_or(0) : 0;
+    if (s.entry.memoryTokens <= 0)
+      return fresh(s) ? std::max(slots, s.report.memoryShare.value_or(0)) : slots;
+    const double own = s.heldTokens / s.entry.memoryTokens;
+    if (!fresh(s) || !s.report.memoryShare) return std::max(slots, own * set_.nodes);
+    const double recent = s.recentTokens * std::exp((s.recentAt - now_) / kRecent) * set_.nodes / 2;
+    return std::max({slots, own, *s.report.memoryShare + recent / s.entry.memoryTokens});
+  }
+
+  bool yields(const Server& s) const {
+    return filled(s) > kNearlyFull || (fresh(s) && s.report.queued.value_or(0) >= 1) || now_ < s.fullUntil;
+  }
+
+  double writeCost(const Server& from, const Server& to, double tokens) const {
+    double cost = transferTime(from, to, tokens) + to.wait.get(now_, waitPrior_) * (0.5 + to.score) + ill(to);
+    cost += 0.3 * std::max(0.0, to.pace.get(now_, pacePrior_) / pacePrior_ - 1.3);
+    if (yields(to)) cost += kYield + 3 * std::max(0.0, filled(to) - kNearlyFull);
+    return cost;
+  }
+
+  double expectedOutput(const Request& r) const {
+    const double pace = sec(classOf(r).tokenAim);
+    if (r.ask.answerHint && pace > 0) return sec(*r.ask.answerHint) / pace;
+    return r.ask.maxOutputTokens / 3;
+  }
+
+  // ---- The prefix table ----
+  double credit(const Server& s, const Request& r) const {
+    const double most =
+        std::max(keptAt(r.ask.session, s), std::min(keptAt(r.ask.prefix, s), r.ask.prefixTokens));
+    return std::min(most, r.ask.promptTokens) * std::min(1.0, s.trust.get(now_, 1));
+  }
+
+  double keptAt(std::uint64_t key, const Server& s) const {
+    const auto it = key == 0 ? kept_.end() : kept_.find(key);
+    if (it == kept_.end()) return 0;
+    for (const Kept& k : it->second) {
+      if (k.server == s.entry.id && k.generation == s.generation)
+        return k.tokens * std::exp((k.at - now_) / kKeepFor);
+    }
+    return 0;
+  }
+
+  void keep(std::uint64_t key, const Server& s, double tokens) {
+    if (key == 0 || tokens <= 0) return;
+    std::vector<Kept>& list = kept_[key];
+    std::erase_if(list, [&](const Kept& k) { return k.server == s.entry.id || k.at < now_ - kKeepFor; });
+    list.push_back({s.entry.id, s.generation, tokens, now_});
+  }
+
+  // ---- Who may be sent what ----
+  // A server that failed lately is out until its ejection ends, then has one request at a time on trial.
+  bool healthy(const Server& s) const { return now_ >= s.ejectedUntil && !(s.trial && s.unanswered() > 0); }
+
+  bool mayTake(const Server& s, const Request& r, bool strict) const {
+    if (!s.serving() || !withinColdBudget(s, r)) return false;
+    if (!strict) return true;
+    return healthy(s) && now_ >= s.fullUntil &&
+           std::find(r.failedOn.begin(), r.failedOn.end(), s.entry.id) == r.failedOn.end();
+  }
+
+  // A cold server gets no more than this node's part of what it can do. Servers that come back from lost
+  // contact count as cold too, since they may have been replaced before the list says so.
+  bool withinColdBudget(const Server& s, const Request& r) const {
+    const double age = now_ - s.coldSince, warm = sec(set_.coldWarmAfter);
+    if (age >= warm) return true;
+    const double able =
+        set_.coldStartCapacity + (1 - set_.coldStartCapacity) * 0.5 * std::max(0.0, age) / warm;
+    const double window = sec(set_.coldWindow);
+    const double budget = kColdSafety * set_.coldOverloadFactor * able * window * warmRate(s.entry.role);
+    double spent = 0;
+    for (const auto& [at, weight] : s.coldSends) spent += at > now_ - window ? weight : 0;
+    return spent == 0 || spent + sendWeight(r) <= budget;
+  }
+
+  // What a warm server of the role takes from us, in weights a second.
+  double warmRate(Role role) const {
+    double servers = 0;
+    for (const auto& [id, s] : servers_) {
+      servers += s.entry.role == role && s.serving() && now_ - s.coldSince >= sec(set_.coldWarmAfter);
+    }
+    const auto it = roleSends_.find(role);
+    return it == roleSends_.end() || servers == 0 ? 0 : it->second.first / kForget / servers;
+  }
+
+  double sendWeight(const Request& r) const {
+    return std::max(1.0, r.ask.promptTokens / std::max(1.0, meanPrompt_.get(now_, 1000)));
+  }
+
+  // No effect twice: after an attempt that may have run, an unsafe request goes nowhere and a keyed one only
+  // where its repeats are dropped, as long as they are.
+  bool mayRunOn(const Request& r, const Server& s) const {
+    const ClassSettings& c = classOf(r);
+    if (!r.mayHaveRun || c.effect == Effect::kSafe) return true;
+    if (c.effect == Effect::kUnsafe || now_ > r.firstRunAt + sec(c.dedupWindow)) return false;
+    if (c.group == DedupGroup::kZone) return s.entry.zone == r.runZone;
+    return c.group == DedupGroup::kAll || s.entry.cell == r.runCell;
+  }
+
+  bool mayRefuse(const Request& r) const {
+    const ClassSettings& c = classOf(r);
+    const bool ran = r.mayHaveRun || (r.out && runsEffect(r));
+    return !ran || c.effect == Effect::kSafe || (c.effect == Effect::kKeyed && c.group == DedupGroup::kAll);
+  }
+
+  static bool runsEffect(const Request& r) { return r.whole || r.stage == Stage::kWriting; }
+
+  // ---- The picks ----
+  struct Plan {
+    Server* server = nullptr;
+    double cost = 1e18, time = 0;
+    bool whole = false;
+  };
+
+  // The reader with the least time to first token: its queue, this prompt less what it keeps, and the
+  // cheapest writer after it. Mixed servers take a request whole where that is sooner.
+  Plan planRead(const Request& r, bool strict) {
+    Plan best;
+    for (auto& [id, s] : servers_) {
+      const bool mixed = s.entry.role == Role::kMixed;
+      if (!s.reads() && !mixed) continue;
+      if (!mayTake(s, r, strict) || (mixed && !mayRunOn(r, s))) continue;
+      const double time = readTime(s, r.ask.promptTokens - credit(s, r));
+      double cost = time * (0.5 + s.score) + ill(s) + (s.entry.zone == set_.zone ? 0 : kFarBias);
+      cost += mixed ? s.wait.get(now_, waitPrior_) + (yields(s) ? kYield : 0) : cheapestWrite(s, r);
+      if (cost < best.cost || (cost == best.cost && tie(r, s) < tie(r, *best.server)))
+        best = {&s, cost, time, mixed};
+    }
+    return best;
+  }
+
+  // Writers that read by themselves are used whole only when no reader or mixed server is left.
+  Plan planWhole(const Request& r) {
+    Plan best;
+    if (!set_.decodeMayPrefill) return best;
+    for (auto& [id, s] : servers_) {
+      if (s.entry.role != Role::kDecode || !mayTake(s, r, true) || !mayRunOn(r, s)) continue;
+      const double cost = writeCost(s, s, 0);
+      if (cost < best.cost)
+        best = {&s, cost, readPrior_ * 2 * (r.ask.promptTokens + kReadFloorTokens) + cost, true};
+    }
+    return best;
+  }
+
+  double cheapestWrite(const Server& reader, const Request& r) const {
+    double best = kYield * 4;
+    for (const auto& [id, s] : servers_) {
+      if (s.entry.role == Role::kDecode && s.serving() && healthy(s)) {
+        best = std::min(best, writeCost(reader, s, r.ask.promptTokens));
+      }
+    }
+    return best;
+  }
+
+  Server* pickWriter(const Request& r, const Server& reader, bool strict) {
+    Server* best = nullptr;
+    double least = 1e18;
+    for (const bool mixed : {false, true}) {  // mixed servers fetch states only when no pure writer can
+      for (auto& [id, s] : servers_) {
+        if (s.entry.role != (mixed ? Role::kMixed : Role::kDecode)) continue;
+        if (!mayTake(s, r, strict) || !mayRunOn(r, s)) continue;
+        const double cost = writeCost(reader, s, r.ask.promptTokens);
+        if (cost < least || (cost == least && tie(r, s) < tie(r, *best))) best = &s, least = cost;
+      }
+      if (best != nullptr) break;
+    }
+    return best;
+  }
+
+  // Order among equals: the same shared prefix leads every node to the same server.
+  static std::uint64_t tie(const Request& r, const Server& s) {
+    std::uint64_t x =
+        (r.ask.prefix != 0 ? r.ask.prefix : r.ask.session) ^ (s.entry.id.value * 0x9e3779b97f4a7c15ULL);
+    x = (x ^ (x >> 30)) * 0xbf58476d1ce4e5b9ULL;
+    x = (x ^ (x >> 27)) * 0x94d049bb133111ebULL;
+    return x ^ (x >> 31);
+  }
+
+  // ---- A request's life ----
+  // Tries to send a queued request. True when it is out or over; false when it should wait here.
+  bool dispatch(Request& r) {
+    if (now_ + kSweep >= r.deadline || r.sends >= set_.maxAttempts) return finish(r), true;
+    Plan plan = planRead(r, true);
+    if (plan.server == nullptr) plan = planWhole(r);
+    if (plan.server == nullptr) plan = planRead(r, false);
+    const bool enough = plan.whole || r.sends + 2 <= set_.maxAttempts;
+    if (plan.server != nullptr && !enough) return finish(r), true;
+    const bool inTime = plan.server != nullptr && now_ + plan.time < r.deadline;
+    if (inTime && roomAhead(r)) {
+      sendRead(r, plan);
+      return true;
+    }
+    // Waiting here costs no server anything, but what cannot come in time is refused early.
+    const double patience = r.arrived + 0.5 * (r.aimAt - r.arrived);
+    if (now_ > patience || (plan.server != nullptr && !inTime)) return finish(r), true;
+    return false;
+  }
+
+  // Load shedding: a prompt is read only when some writer will have memory for it. Traffic beyond its
+  // tenant's share gives way earlier.
+  bool roomAhead(const Request& r) const {
+    const double most = r.overShare ? kMostFilledOver : kMostFilled;
+    bool any = false;
+    for (const auto& [id, s] : servers_) {
+      if (s.reads() || s.entry.role == Role::kUnknown || !s.serving() || now_ < s.ejectedUntil) continue;
+      any = true;
+      if (filled(s) <= most && now_ >= s.fullUntil) return true;
+    }
+    return !any;
+  }
+
+  void sendRead(Request& r, const Plan& plan) {
+    Server& s = *plan.server;
+    r.credit = credit(s, r);
+    r.readTokens = r.ask.promptTokens - r.credit;
+    r.whole = plan.whole;
+    r.transfer = 0;
+    s.queuedTokens += r.readTokens;
+    s.reading += 1;
+    keep(r.ask.prefix, s, r.ask.prefixTokens);  // who comes next on this server finds it read
+    r.stage = Stage::kReading;
+    send(r, s, plan.time + (plan.whole ? s.wait.get(now_, waitPrior_) : 0));
+  }
+
+  void pickWriterOrHold(Request& r) {
+    const auto reader = servers_.find(r.reader);
+    if (r.sends >= set_.maxAttempts || reader == servers_.end()) return finish(r);
+    Server* s = pickWriter(r, reader->second, true);
+    if (s == nullptr) s = pickWriter(r, reader->second, false);
+    if (s != nullptr) {
+      r.transfer = transferTime(reader->second, *s, r.ask.promptTokens);
+      r.stage = Stage::kWriting;
+      r.whole = false;
+      s->waiting += 1;
+      reader->second.sending += 1;
+      return send(r, *s, r.transfer + s->wait.get(now_, waitPrior_));
+    }
+    // Nothing may stay pinned: a state that no writer can take is let go well before the limit.
+    if (sec(set_.pinLimit) > 0 && now_ - r.heldSince > 0.6 * sec(set_.pinLimit) - 2 * kSweep) finish(r);
+  }
+
+  void send(Request& r, Server& s, double expected) {
+    const double left = r.deadline - now_;
+    const double share = r.sends + 2 < set_.maxAttempts ? kTryShare * left : left;
+    const double patience = std::max(kTimeoutFloor, kTimeoutFactor * expected) * (1 + r.timeouts);
+    r.server = s.entry.id;
+    r.out = true;
+    r.sentAt = now_;
+    r.expected = expected;
+    ++r.sends;
+    if (runsEffect(r)) {
+      s.heldTokens += r.need;
+      s.recentTokens = s.recentTokens * std::exp((s.recentAt - now_) / kRecent) + r.need;
+      s.recentAt = now_;
+    }
+    auto& [sum, at] = roleSends_[s.entry.role];
+    sum = sum * std::exp((at - now_) / kForget) + sendWeight(r);
+    at = now_;
+    s.coldSends.emplace_back(now_, sendWeight(r));
+    while (s.coldSends.front().first < now_ - sec(set_.coldWindow)) s.coldSends.pop_front();
+    act(Send{r.ask.id, s.entry.id, Duration(std::max(0.001, std::min(patience, share)))});
+  }
+
+  // Takes the attempt out of our own record.
+  void closeAttempt(Request& r) {
+    const auto it = servers_.find(r.server);
+    if (it != servers_.end()) {
+      Server& s = it->second;
+      if (r.stage == Stage::kStreaming) s.streaming -= 1;
+      if (r.stage == Stage::kReading) s.reading -= 1;
+      if (r.stage == Stage::kWriting) s.waiting -= 1;
+      if (runsEffect(r) || r.stage == Stage::kStreaming) s.heldTokens -= r.need;
+      s.queuedTokens -= r.readTokens;
+    }
+    if (r.stage == Stage::kWriting) releaseReader(r);
+    r.readTokens = 0;
+    r.out = false;
+  }
+
+  void releaseReader(const Request& r) {
+    const auto reader = servers_.find(r.reader);
+    if (r.stage == Stage::kWriting && reader != servers_.end()) reader->second.sending -= 1;
+  }
+
+  void onFailure(Request& r, const AttemptEnded& e, bool wasStreaming) {
+    if (wasStreaming) return finish(r);
+    const bool wrote = runsEffect(r);
+    const bool provedNotRun = e.outcome == Outcome::kRejected || e.outcome == Outcome::kStateLost ||
+                              e.outcome == Outcome::kConnectFailed || e.outcome == Outcome::kNotSent;
+    if (wrote && !provedNotRun && !r.mayHaveRun) {
+      const auto it = servers_.find(e.server);
+      r.mayHaveRun = true;
+      r.firstRunAt = r.sentAt;
+      if (it != servers_.end()) r.runZone = it->second.entry.zone, r.runCell = it->second.entry.cell;
+    }
+    if (e.outcome == Outcome::kTimeout) ++r.timeouts;
+    r.failedOn.push_back(e.server);
+    const bool spent = classOf(r).effect == Effect::kUnsafe && r.mayHaveRun;
+    if (spent || e.outcome == Outcome::kNotSent) return finish(r);
+    const bool holds = r.stage == Stage::kWriting && e.outcome != Outcome::kStateLost;
+    if (holds && ++r.writerFailures < 3) {
+      r.stage = Stage::kHolding;
+      r.heldSince = now_;
+      return pickWriterOrHold(r);
+    }
+    if (holds) act(Release{r.ask.id});
+    r.stage = Stage::kQueued;
+    r.whole = false;
+    if (!dispatch(r)) queue_.push_back(r.ask.id);
+  }
+
+  // The one place where the module ends a request.
+  void finish(Request& r) {
+    if (r.answered) return;
+    r.answered = true;
+    if (mayRefuse(r)) {
+      act(Refuse{r.ask.id, set_.retryAfterHeeded ? set_.maxRetryAfter : Duration(0)});
+    } else {
+      act(Fail{r.ask.id});
+    }
+    letGo(r);
+    if (!r.out) ended_.push_back(r.ask.id);
+  }
+
+  void letGo(Request& r) {
+    if (r.out && set_.cancelAllowed) act(Cancel{r.ask.id, r.sends - 1});
+    if (r.sends > 0) act(Release{r.ask.id});
+  }
+
+  // ---- Learning ----
+  void learnReport(ServerId id, const LoadReport& load) {
+    const auto it = servers_.find(id);
+    if (it == servers_.end()) return;
+    Server& s = it->second;
+    s.report = load;
+    s.reportAt = now_;
+    const double mean = meanPrompt_.get(now_, 1000) / 2;
+    double foreign = 0;
+    if (load.waitingTokens) {
+      foreign = *load.waitingTokens - s.queuedTokens;
+    } else if (load.queued) {
+      foreign = (*load.queued - s.reading) * mean;
+    } else if (load.inHand) {
+      foreign = (*load.inHand - s.out() - s.sending) * mean;
+    }
+    s.foreignTokens = std::max(0.0, foreign);
+  }
+
+  void learnOutcome(Request& r, const AttemptEnded& e) {
+    const auto it = servers_.find(e.server);
+    if (it == servers_.end()) return;
+    Server& s = it->second;
+    switch (e.outcome) {
+      case Outcome::kPrefilled:
+        s.readCost.add(sec(e.elapsed) / std::max(r.expected, 1e-3) * s.readCost.get(r.sentAt, readPrior_),
+                       now_);
+        if (r.credit > 0) s.trust.add(std::min(1.0, e.keptTokens / r.credit), now_);
+        keep(r.ask.session, s, r.ask.promptTokens);
+        keep(r.ask.prefix, s, r.ask.prefixTokens);
+        recovered(s);
+        break;
+      case Outcome::kOk:
+        if (r.streamAt > 0) s.pace.add((now_ - r.streamAt) / std::max(1.0, expectedOutput(r)), now_);
+        recovered(s);
+        break;
+      case Outcome::kRejected:
+        s.fullUntil = now_ + kFullPause;
+        break;
+      case Outcome::kStateLost:
+      case Outcome::kCancelled:
+      case Outcome::kNotSent:
+        break;
+      default:
+        blame(s, e.outcome);
+    }
+  }
+
+  void learnFirstToken(const Request& r, Server& s) {
+    const double took = now_ - r.sentAt;
+    const auto reader = servers_.find(r.reader);
+    if (r.stage == Stage::kReading || reader == servers_.end()) return;
+    const int kind = linkKind(reader->second, s);
+    const double wait = s.wait.get(now_, waitPrior_);
+    if (kind == 0) {
+      s.wait.add(std::max(0.002, took - r.transfer), now_);
+    } else {
+      links_[{reader->second.entry.cell, kind}].add(std::max(1e-6, (took - wait) / (r.ask.promptTokens + 1)),
+                                                    now_);
+    }
+  }
+
+  // ---- Health ----
+  // Outlier ejection from symptoms: errors, lost connections and time-outs raise a server's failure level,
+  // successes lower it. Time-outs do not eject when half of the role is out already: then the cause may be a
+  // link or the load, and fewer servers would make it worse.
+  void blame(Server& s, Outcome outcome) {
+    const bool contact = outcome == Outcome::kConnectFailed || outcome == Outcome::kReset;
+    s.lostContact |= contact || outcome == Outcome::kTimeout;
+    s.failures += (contact ? 2 : 1) * kFailureStep * (1 - std::min(1.0, s.failures));
+    if (now_ < s.ejectedUntil || (s.failures < kEjectAt && !s.trial)) return;
+    if (outcome == Outcome::kTimeout && tooManyOut(s.entry.role)) return;
+    if (now_ - s.ejectedUntil > kStrikesForgotten) s.strikes = 0;
+    s.ejectedUntil = now_ + std::min(kEjectMost, kEjectFirst * std::pow(2, s.strikes++));
+    s.trial = true;
+  }
+
+  bool tooManyOut(Role role) const {
+    int all = 0, ejected = 0;
+    for (const auto& [id, s] : servers_) {
+      if (s.entry.role != role || !s.serving()) continue;
+      ++all;
+      ejected += now_ < s.ejectedUntil;
+    }
+    return 2 * (ejected + 1) > all;
+  }
+
+  void recovered(Server& s) {
+    s.failures *= 1 - kFailureStep;
+    if (now_ < s.ejectedUntil || !s.trial) return;
+    s.trial = false;
+    if (s.lostContact) s.coldSince = std::max(s.coldSince, now_);  // slow start
+    s.lostContact = false;
+  }
+
+  // ---- Fair shares ----
+  bool withinShare(const RequestArrived& ask) {
+    if (!ask.tenant || *ask.tenant >= buckets_.size() || set_.tenants[*ask.tenant].quotaPerSecond <= 0)
+      return true;
+    const double rate = set_.tenants[*ask.tenant].quotaPerSecond / set_.nodes;
+    Bucket& b = buckets_[*ask.tenant];
+    b.tokens = std::min(2 * rate + 1, b.tokens + rate * (now_ - b.at));
+    b.at = now_;
+    if (b.tokens < 1) return false;
+    b.tokens -= 1;
+    return true;
+  }
+
+  // ---- Small things ----
+  const ClassSettings& classOf(const Request& r) const { return set_.classes.at(r.ask.classIndex); }
+  void act(Action action) { out_->push_back(std::move(action)); }
+  double draw() {
+    random_ ^= random_ << 13;
+    random_ ^= random_ >> 7;
+    random_ ^= random_ << 17;
+    return static_cast<double>(random_ >> 11) * 0x1.0p-53;
+  }
+
+  Settings set_;
+  std::uint64_t random_;
+  double now_ = 0, scoredAt_ = 0, askAt_ = 0;
+  bool started_ = false;
+  std::vector<Action>* out_ = nullptr;
+  std::map<ServerId, Server> servers_;
+  std::map<RequestId, Request> requests_;
+  std::deque<RequestId> queue_;  // requests that wait here, oldest first
+  std::vector<RequestId> ended_;
+  std::unordered_map<std::uint64_t, std::vector<Kept>> kept_;  // never walked in its own order
+  std::map<std::pair<std::uint32_t, int>, Learned>
+      links_;                                            // a token's move, by the reader's cell and link kind
+  std::map<Role, std::pair<double, double>> roleSends_;  // fading sum of our sends, and when
+  std::pair<double, double> arrivals_{0, 0};
+  std::vector<Bucket> buckets_;
+  Learned meanPrompt_;
+  double readPrior_ = kReadPrior, waitPrior_ = kWaitPrior, pacePrior_ = 1;
+};
+
+Policy::Policy(Settings settings) : impl_(std::make_unique<Impl>(std::move(settings))) {}
+Policy::Policy(Policy&&) noexcept = default;
+Policy& Policy::operator=(Policy&&) noexcept = default;
+Policy::~Policy() = default;
+
+void Policy::handle(Instant now, const Event& event, std::vector<Action>& actions) {
+  impl_->handle(now, event, actions);
+}
+
+}  // namespace gannetcourse
