Call off attempts only at silent servers, leave slow ones to finish

Cause: time-outs of 3x the expected read threw away queued reads on busy readers, whose work went on. Also catches hangs and cut links; may hurt where a server is slow but never silent (held to the deadline share).

--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -37,7 +37,7 @@
 constexpr double kMostFilled = 0.97;      // writers' memory share up to which requests are let in
 constexpr double kMostFilledOver = 0.75;  // ... those beyond their tenant's share
 constexpr double kTimeoutFactor = 3;      // a time-out against the time expected of the work
-constexpr double kTimeoutFloor = 0.3;
+constexpr double kSilentShare = 0.35;       // ... and, at least, against the request's aim
 constexpr double kTryShare = 0.6;      // of the time left that one attempt may take while others could follow
 constexpr double kEjectAt = 0.5;       // failure level that ejects a server
 constexpr double kFailureStep = 0.34;  // what one outcome moves it
@@ -89,6 +89,7 @@
   bool trial = false, lostContact = false;
   double coldSince = -1e9;
   std::deque<std::pair<double, double>> coldSends;  // time and weight of the sends within the cold window
+  double answeredAt = -1e9;  // when it last finished a read or began an answer
   double nextProbe = 0;
 
   bool serving() const { return entry.state == ServerEntry::State::kServing; }
@@ -113,6 +114,7 @@
   bool mayHaveRun = false;  // some attempt may have had its effect ...
   double firstRunAt = 0;    // ... the first was sent then, to this zone and cell
   std::uint32_t runZone = 0, runCell = 0;
+  bool calledOff = false;                     // the attempt that is out was cancelled for silence
   std::vector<ServerId> failedOn;
 };
 
@@ -280,9 +282,25 @@
       if (!r.out || r.stage == Stage::kStreaming) continue;
       Server& s = servers_[r.server];
       s.overdue = std::max(s.overdue, now_ - r.sentAt - 1.5 * r.expected - 0.05);
+      const bool silent = s.answeredAt < r.sentAt && now_ - r.sentAt > patience(r);
+      if (!silent || r.answered || r.calledOff || !set_.cancelAllowed || !mayTryOn(r)) continue;
+      r.calledOff = true;
+      act(Cancel{id, r.sends - 1});
     }
   }
 
+  // How long an attempt may take before its server counts as silent.
+  double patience(const Request& r) const {
+    const double usual = std::max(kTimeoutFactor * r.expected, kSilentShare * (r.aimAt - r.arrived));
+    return usual * (1 + r.timeouts);
+  }
+
+  // Whether a further attempt could still be made, should this one end without an answer.
+  bool mayTryOn(const Request& r) const {
+    const bool effectDone = runsEffect(r) && classOf(r).effect == Effect::kUnsafe;
+    return !effectDone && r.sends + (r.stage == Stage::kReading ? 2 : 1) <= set_.maxAttempts;
+  }
+
   // Every request has its answer before the client's time is up, whatever is out for it.
   void endOverdue() {
     const double margin = kSweep + 2 * sec(set_.tick) + 0.002;
@@ -640,8 +658,6 @@
 
   void send(Request& r, Server& s, double expected) {
     const double left = r.deadline - now_;
-    const double share = r.sends + 2 < set_.maxAttempts ? kTryShare * left : left;
-    const double patience = std::max(kTimeoutFloor, kTimeoutFactor * expected) * (1 + r.timeouts);
     r.server = s.entry.id;
     r.out = true;
     r.sentAt = now_;
@@ -657,7 +673,9 @@
     at = now_;
     s.coldSends.emplace_back(now_, sendWeight(r));
     while (s.coldSends.front().first < now_ - sec(set_.coldWindow)) s.coldSends.pop_front();
-    act(Send{r.ask.id, s.entry.id, Duration(std::max(0.001, std::min(patience, share)))});
+    // Where attempts can be called off, silence ends them; the time-out only leaves room for another try.
+    const double most = mayTryOn(r) ? kTryShare * left : left;
+    act(Send{r.ask.id, s.entry.id, Duration(set_.cancelAllowed ? most : std::min(most, patience(r)))});
   }
 
   // Takes the attempt out of our own record.
@@ -692,7 +710,8 @@
       r.firstRunAt = r.sentAt;
       if (it != servers_.end()) r.runZone = it->second.entry.zone, r.runCell = it->second.entry.cell;
     }
-    if (e.outcome == Outcome::kTimeout) ++r.timeouts;
+    if (e.outcome == Outcome::kTimeout || r.calledOff) ++r.timeouts;
+    r.calledOff = false;
     r.failedOn.push_back(e.server);
     const bool spent = classOf(r).effect == Effect::kUnsafe && r.mayHaveRun;
     if (spent || e.outcome == Outcome::kNotSent) return finish(r);
@@ -765,8 +784,10 @@
       case Outcome::kRejected:
         s.fullUntil = now_ + kFullPause;
         break;
-      case Outcome::kStateLost:
       case Outcome::kCancelled:
+        if (r.calledOff) blame(s, Outcome::kTimeout);
+        break;
+      case Outcome::kStateLost:
       case Outcome::kNotSent:
         break;
       default:
@@ -814,6 +835,7 @@
   }
 
   void recovered(Server& s) {
+    s.answeredAt = now_;
     s.failures *= 1 - kFailureStep;
     if (now_ < s.ejectedUntil || !s.trial) return;
     s.trial = false;
