Take readers' rates within 2.5x of the median as equal

Cause: swings of learned rates moved sessions off the reader that kept their text; uncached tokens tripled and the readers jammed. May hurt where a reader is slow by less than 2.5x.

--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -25,6 +25,7 @@
 constexpr double kPriorWeight = 0.5;      // samples that the peers' figure counts for
 constexpr double kReadPrior = 1e-4;       // reading, a token
 constexpr double kReadFloorTokens = 300;  // a read's fixed cost, as tokens
+constexpr double kOutlier = 2.5;            // a reader this much slower than its peers counts as slow
 constexpr double kWaitPrior = 0.05;       // a writer's wait before the first token
 constexpr double kLinkPrior[] = {5e-6, 2e-5,
                                  4e-5};   // moving a state, a token: in a cell, a zone, across zones
@@ -108,7 +109,7 @@
   int sends = 0, timeouts = 0, writerFailures = 0;
   bool out = false, whole = false;  // an attempt is out; it reads and writes in one place
   ServerId server;                  // of the attempt that is out or was last
-  double sentAt = 0, expected = 0, readTokens = 0, credit = 0, need = 0, transfer = 0, streamAt = 0;
+  double sentAt = 0, expected = 0, readTokens = 0, planTokens = 1, credit = 0, need = 0, transfer = 0, streamAt = 0;
   ServerId reader;  // where the state waits
   double heldSince = 0;
   bool mayHaveRun = false;  // some attempt may have had its effect ...
@@ -393,9 +394,16 @@
   bool fresh(const Server& s) const { return now_ - s.reportAt < kReportFresh; }
 
   // ---- Estimates ----
+  // Seconds a prompt token. What others queue at a reader makes its figure swing; only one that stands out from
+  // its peers counts as slow, or sessions would move for noise and lose what their reader keeps.
+  double readRate(const Server& s) const {
+    const double own = s.readCost.get(now_, readPrior_);
+    return own > kOutlier * readPrior_ ? own : readPrior_;
+  }
+
   double readTime(const Server& s, double tokens) const {
     const double queued = s.queuedTokens + s.foreignTokens * std::exp((s.reportAt - now_) / kScoreWindow);
-    return s.readCost.get(now_, readPrior_) * (queued + tokens + kReadFloorTokens);
+    return readRate(s) * (queued + tokens + kReadFloorTokens);
   }
 
   double ill(const Server& s) const { return s.failures + std::max(0.0, s.overdue); }
@@ -636,6 +644,7 @@
     s.reading += 1;
     keep(r.ask.prefix, s, r.ask.prefixTokens);  // who comes next on this server finds it read
     r.stage = Stage::kReading;
+    r.planTokens = plan.time / readRate(s);
     send(r, s, plan.time + (plan.whole ? s.wait.get(now_, waitPrior_) : 0));
   }
 
@@ -770,8 +779,7 @@
     Server& s = it->second;
     switch (e.outcome) {
       case Outcome::kPrefilled:
-        s.readCost.add(sec(e.elapsed) / std::max(r.expected, 1e-3) * s.readCost.get(r.sentAt, readPrior_),
-                       now_);
+        s.readCost.add(sec(e.elapsed) / r.planTokens, now_);
         if (r.credit > 0) s.trust.add(std::min(1.0, e.keptTokens / r.credit), now_);
         keep(r.ask.session, s, r.ask.promptTokens);
         keep(r.ask.prefix, s, r.ask.prefixTokens);
