--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -23,14 +23,17 @@
 constexpr double kForget = 8;             // learned figures fade towards their peers' over this
 constexpr double kMemory = 5;             // samples that a learned figure averages over
 constexpr double kPriorWeight = 0.5;      // samples that the peers' figure counts for
+constexpr double kRise = 0.2;               // reading speeds are learned from the least disturbed reads
 constexpr double kReadPrior = 1e-4;       // reading, a token
 constexpr double kReadFloorTokens = 300;  // a read's fixed cost, as tokens
 constexpr double kOutlier = 2.5;            // a reader this much slower than its peers counts as slow
+constexpr double kQueueShare = 0.5;         // of a request's aim that its reader's queue may take
 constexpr double kWaitPrior = 0.05;       // a writer's wait before the first token
 constexpr double kLinkPrior[] = {5e-6, 2e-5,
                                  4e-5};   // moving a state, a token: in a cell, a zone, across zones
 constexpr double kFarBias = 0.02;         // prices of leaving the cell or the zone, as time
 constexpr double kKeepFor = 120;          // ageing of the prefix table
+constexpr double kMemoryPrior = 2e5;        // tokens, of a server that does not tell its memory
 constexpr std::size_t kMostKept = 50000;  // its entries before old ones are dropped
 constexpr double kNearlyFull = 0.9;       // a writer's memory share from which it yields
 constexpr double kYield = 0.3;            // cost of a writer that should yield
@@ -55,9 +58,10 @@
 // A figure learned from samples: recent ones count most, and without new ones it fades towards `prior`.
 class Learned {
  public:
+  explicit Learned(double forget = kForget, double rise = 1) : forget_(forget), rise_(rise) {}
   void add(double sample, double now) {
     weight_ = std::min(weightAt(now) + 1, kMemory);
-    value_ += (sample - value_) / weight_;
+    value_ += (sample - value_) / weight_ * (sample > value_ && weight_ > 1 ? rise_ : 1);
     at_ = now;
   }
   double get(double now, double prior) const {
@@ -67,7 +71,8 @@
   bool known(double now) const { return weightAt(now) > kPriorWeight; }
 
  private:
-  double weightAt(double now) const { return weight_ * std::exp((at_ - now) / kForget); }
+  double weightAt(double now) const { return weight_ * std::exp((at_ - now) / forget_); }
+  double forget_, rise_;  // a rise below 1 learns a low quantile
   double value_ = 0, weight_ = 0, at_ = 0;
 };
 
@@ -83,13 +88,14 @@
   LoadReport report;
   double reportAt = -1e9, foreignTokens = 0;  // prompt tokens that others have queued there
   double score = 0.5;
-  Learned readCost, wait, pace, trust;  // trust: share of the credited prompt tokens found kept
+  Learned readCost{kForget, kRise}, readWait{kScoreWindow}, wait, pace, trust;  // trust: share of the credited prompt tokens found kept
   // Health.
   double failures = 0, ejectedUntil = -1e9, fullUntil = -1e9;
   int strikes = 0;
   bool trial = false, lostContact = false;
   double coldSince = -1e9;
   std::deque<std::pair<double, double>> coldSends;  // time and weight of the sends within the cold window
+  double readVolume = 0;     // prompt tokens that it has read anew for us
   double answeredAt = -1e9;  // when it last finished a read or began an answer
   double nextProbe = 0;
 
@@ -122,7 +128,7 @@
 struct Kept {
   ServerId server;
   int generation;
-  double tokens, at;
+  double tokens, at, volume;
 };
 
 struct Bucket {
@@ -172,7 +178,9 @@
       ++s.generation;
       s.failures = s.foreignTokens = 0;
       s.report = {};
-      s.readCost = s.wait = s.pace = s.trust = {};
+      s.readCost = Learned(kForget, kRise);
+s.readWait = Learned(kScoreWindow);
+ s.wait = s.pace = s.trust = Learned();
       s.trial = s.lostContact = false;
       s.ejectedUntil = -1e9;
     }
@@ -282,9 +290,10 @@
     for (auto& [id, r] : requests_) {
       if (!r.out || r.stage == Stage::kStreaming) continue;
       Server& s = servers_[r.server];
-      s.overdue = std::max(s.overdue, now_ - r.sentAt - 1.5 * r.expected - 0.05);
-      const bool silent = s.answeredAt < r.sentAt && now_ - r.sentAt > patience(r);
-      if (!silent || r.answered || r.calledOff || !set_.cancelAllowed || !mayTryOn(r)) continue;
+      if (s.answeredAt >= r.sentAt) continue;
+      const double age = now_ - r.sentAt;
+      s.overdue = std::max(s.overdue, age - patience(r) / 2);
+      if (age <= patience(r) || r.answered || r.calledOff || !set_.cancelAllowed || !mayTryOn(r)) continue;
       r.calledOff = true;
       act(Cancel{id, r.sends - 1});
     }
@@ -403,7 +412,7 @@
 
   double readTime(const Server& s, double tokens) const {
     const double queued = s.queuedTokens + s.foreignTokens * std::exp((s.reportAt - now_) / kScoreWindow);
-    return readRate(s) * (queued + tokens + kReadFloorTokens);
+    return readRate(s) * (queued + tokens + kReadFloorTokens) + s.readWait.get(now_, 0);
   }
 
   double ill(const Server& s) const { return s.failures + std::max(0.0, s.overdue); }
@@ -461,16 +470,22 @@
     if (it == kept_.end()) return 0;
     for (const Kept& k : it->second) {
       if (k.server == s.entry.id && k.generation == s.generation)
-        return k.tokens * std::exp((k.at - now_) / kKeepFor);
+        return k.tokens * lasting(k, s);
     }
     return 0;
   }
+  // Ageing by what the server has read since, by our record as if every node sent as much: new text pushes
+  // old text out of its memory.
+  double lasting(const Kept& k, const Server& s) const {
+    const double room = s.entry.memoryTokens > 0 ? s.entry.memoryTokens : kMemoryPrior;
+    return std::exp((k.at - now_) / kKeepFor - std::pow((s.readVolume - k.volume) * set_.nodes / room, 2));
+  }
 
   void keep(std::uint64_t key, const Server& s, double tokens) {
     if (key == 0 || tokens <= 0) return;
     std::vector<Kept>& list = kept_[key];
     std::erase_if(list, [&](const Kept& k) { return k.server == s.entry.id || k.at < now_ - kKeepFor; });
-    list.push_back({s.entry.id, s.generation, tokens, now_});
+    list.push_back({s.entry.id, s.generation, tokens, now_, s.readVolume});
   }
 
   // ---- Who may be sent what ----
@@ -611,11 +626,12 @@
     const bool enough = plan.whole || r.sends + 2 <= set_.maxAttempts;
     if (plan.server != nullptr && !enough) return finish(r), true;
     const bool inTime = plan.server != nullptr && now_ + plan.time < r.deadline;
-    if (inTime && roomAhead(r)) {
+    const bool deep = plan.server != nullptr && readTime(*plan.server, 0) > kQueueShare * (r.aimAt - r.arrived);
+    if (inTime && !deep && roomAhead(r)) {
       sendRead(r, plan);
       return true;
     }
-    // Waiting here costs no server anything, but what cannot come in time is refused early.
+  // Long queues at readers push out the text they keep and so slow them further. Waiting here costs no server anything, but what cannot come in time is refused early.
     const double patience = r.arrived + 0.5 * (r.aimAt - r.arrived);
     if (now_ > patience || (plan.server != nullptr && !inTime)) return finish(r), true;
     return false;
@@ -637,14 +653,14 @@
   void sendRead(Request& r, const Plan& plan) {
     Server& s = *plan.server;
     r.credit = credit(s, r);
-    r.readTokens = r.ask.promptTokens - r.credit;
+    r.readTokens = r.ask.promptTokens - r.credit + kReadFloorTokens;
     r.whole = plan.whole;
     r.transfer = 0;
     s.queuedTokens += r.readTokens;
     s.reading += 1;
     keep(r.ask.prefix, s, r.ask.prefixTokens);  // who comes next on this server finds it read
     r.stage = Stage::kReading;
-    r.planTokens = plan.time / readRate(s);
+    r.planTokens = (plan.time - s.readWait.get(now_, 0)) / readRate(s);
     send(r, s, plan.time + (plan.whole ? s.wait.get(now_, waitPrior_) : 0));
   }
 
@@ -779,7 +795,9 @@
     Server& s = it->second;
     switch (e.outcome) {
       case Outcome::kPrefilled:
-        s.readCost.add(sec(e.elapsed) / r.planTokens, now_);
+        s.readWait.add(std::max(0.0, sec(e.elapsed) - readRate(s) * r.planTokens), now_);
+ s.readCost.add(sec(e.elapsed) / r.planTokens, now_);
+    s.readVolume += r.ask.promptTokens - e.keptTokens;
         if (r.credit > 0) s.trust.add(std::min(1.0, e.keptTokens / r.credit), now_);
         keep(r.ask.session, s, r.ask.promptTokens);
         keep(r.ask.prefix, s, r.ask.prefixTokens);
