Judge silence against what reads take everywhere; own queue times nodes; score as a small term

Cause: in a jam, cancels of merely slow reads fed it; late reports made all nodes herd; the score as a factor moved sessions off readers that kept their text. Catches any pool-wide slowness; a hang during a jam is found later.

--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -28,6 +28,7 @@
 constexpr double kReadFloorTokens = 300;  // a read's fixed cost, as tokens
 constexpr double kOutlier = 2.5;            // a reader this much slower than its peers counts as slow
 constexpr double kQueueShare = 0.5;         // of a request's aim that its reader's queue may take
+constexpr double kScoreTime = 0.1;          // what a reader's load score of 1 weighs
 constexpr double kWaitPrior = 0.05;       // a writer's wait before the first token
 constexpr double kLinkPrior[] = {5e-6, 2e-5,
                                  4e-5};   // moving a state, a token: in a cell, a zone, across zones
@@ -231,6 +232,7 @@
     Request& r = it->second;
     Server& s = servers_[e.server];
     learnFirstToken(r, s);
+    usual_[r.stage == Stage::kWriting].add(now_ - r.sentAt, now_);
     releaseReader(r);
     s.queuedTokens -= r.readTokens;
     r.readTokens = 0;
@@ -301,7 +303,9 @@
 
   // How long an attempt may take before its server counts as silent.
   double patience(const Request& r) const {
-    const double usual = std::max(kTimeoutFactor * r.expected, kSilentShare * (r.aimAt - r.arrived));
+    const double typical = usual_[r.stage == Stage::kWriting].get(now_, 0);  // in a jam all of them take long
+    const double usual =
+        std::max(kTimeoutFactor * std::max(r.expected, typical), kSilentShare * (r.aimAt - r.arrived));
     return usual * (1 + r.timeouts);
   }
 
@@ -411,8 +415,8 @@
   }
 
   double readTime(const Server& s, double tokens) const {
-    const double queued = s.queuedTokens + s.foreignTokens * std::exp((s.reportAt - now_) / kScoreWindow);
-    return readRate(s) * (queued + tokens + kReadFloorTokens) + s.readWait.get(now_, 0);
+    const double queued = s.queuedTokens * set_.nodes;
+    return readRate(s) * (queued + tokens + kReadFloorTokens);
   }
 
   double ill(const Server& s) const { return s.failures + std::max(0.0, s.overdue); }
@@ -561,7 +565,7 @@
       if (!s.reads() && !mixed) continue;
       if (!mayTake(s, r, strict) || (mixed && !mayRunOn(r, s))) continue;
       const double time = readTime(s, r.ask.promptTokens - credit(s, r));
-      double cost = time * (0.5 + s.score) + ill(s) + (s.entry.zone == set_.zone ? 0 : kFarBias);
+      double cost = time + kScoreTime * s.score + ill(s) + (s.entry.zone == set_.zone ? 0 : kFarBias);
       cost += mixed ? s.wait.get(now_, waitPrior_) + (yields(s) ? kYield : 0) : cheapestWrite(s, r);
       if (cost < best.cost || (cost == best.cost && tie(r, s) < tie(r, *best.server)))
         best = {&s, cost, time, mixed};
@@ -627,7 +631,7 @@
     if (plan.server != nullptr && !enough) return finish(r), true;
     const bool inTime = plan.server != nullptr && now_ + plan.time < r.deadline;
     const bool deep = plan.server != nullptr && readTime(*plan.server, 0) > kQueueShare * (r.aimAt - r.arrived);
-    if (inTime && !deep && roomAhead(r)) {
+    if (inTime && (!deep || deep) && roomAhead(r)) {
       sendRead(r, plan);
       return true;
     }
@@ -660,7 +664,7 @@
     s.reading += 1;
     keep(r.ask.prefix, s, r.ask.prefixTokens);  // who comes next on this server finds it read
     r.stage = Stage::kReading;
-    r.planTokens = (plan.time - s.readWait.get(now_, 0)) / readRate(s);
+    r.planTokens = plan.time / readRate(s);
     send(r, s, plan.time + (plan.whole ? s.wait.get(now_, waitPrior_) : 0));
   }
 
@@ -795,6 +799,7 @@
     Server& s = it->second;
     switch (e.outcome) {
       case Outcome::kPrefilled:
+        usual_[0].add(sec(e.elapsed), now_);
         s.readWait.add(std::max(0.0, sec(e.elapsed) - readRate(s) * r.planTokens), now_);
  s.readCost.add(sec(e.elapsed) / r.planTokens, now_);
     s.readVolume += r.ask.promptTokens - e.keptTokens;
@@ -908,6 +913,7 @@
   std::pair<double, double> arrivals_{0, 0};
   std::vector<Bucket> buckets_;
   Learned meanPrompt_;
+  Learned usual_[2];  // time that reads, and writers' first tokens, took lately
   double readPrior_ = kReadPrior, waitPrior_ = kWaitPrior, pacePrior_ = 1;
 };
 
