Hold requests here while the reader's queue is deep

Keeps reader queues short, so kept text is not pushed out; catches bursts and lost readers. May refuse more than needed where one node has far more traffic than the others.

--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -631,7 +631,7 @@
     if (plan.server != nullptr && !enough) return finish(r), true;
     const bool inTime = plan.server != nullptr && now_ + plan.time < r.deadline;
     const bool deep = plan.server != nullptr && readTime(*plan.server, 0) > kQueueShare * (r.aimAt - r.arrived);
-    if (inTime && (!deep || deep) && roomAhead(r)) {
+    if (inTime && !deep && roomAhead(r)) {
       sendRead(r, plan);
       return true;
     }
