--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -23,18 +23,19 @@
 constexpr double kForget = 8;             // learned figures fade towards their peers' over this
 constexpr double kMemory = 5;             // samples that a learned figure averages over
 constexpr double kPriorWeight = 0.5;      // samples that the peers' figure counts for
-constexpr double kRise = 0.2;               // reading speeds are learned from the least disturbed reads
+constexpr double kRise = 0.2;             // reading speeds are learned from the least disturbed reads
 constexpr double kReadPrior = 1e-4;       // reading, a token
 constexpr double kReadFloorTokens = 300;  // a read's fixed cost, as tokens
-constexpr double kOutlier = 2.5;            // a reader this much slower than its peers counts as slow
-constexpr double kQueueShare = 0.25;         // of a request's aim that its reader's queue may take
-constexpr double kScoreTime = 0.1;          // what a reader's load score of 1 weighs
+constexpr double kOutlier = 2.5;          // a reader this much slower than its peers counts as slow
+constexpr double kQueueShare = 0.15;      // of a request's aim that its reader's queue may take
+constexpr double kScoreTime = 0.1;        // what a reader's load score of 1 weighs
+constexpr double kMissWeight = 1;         // what reading a token anew costs those who come after
 constexpr double kWaitPrior = 0.05;       // a writer's wait before the first token
 constexpr double kLinkPrior[] = {5e-6, 2e-5,
                                  4e-5};   // moving a state, a token: in a cell, a zone, across zones
 constexpr double kFarBias = 0.02;         // prices of leaving the cell or the zone, as time
 constexpr double kKeepFor = 120;          // ageing of the prefix table
-constexpr double kMemoryPrior = 2e5;        // tokens, of a server that does not tell its memory
+constexpr double kMemoryPrior = 2e5;      // tokens, of a server that does not tell its memory
 constexpr std::size_t kMostKept = 50000;  // its entries before old ones are dropped
 constexpr double kNearlyFull = 0.9;       // a writer's memory share from which it yields
 constexpr double kYield = 0.3;            // cost of a writer that should yield
@@ -42,7 +43,7 @@
 constexpr double kMostFilled = 0.97;      // writers' memory share up to which requests are let in
 constexpr double kMostFilledOver = 0.75;  // ... those beyond their tenant's share
 constexpr double kTimeoutFactor = 3;      // a time-out against the time expected of the work
-constexpr double kSilentShare = 0.35;       // ... and, at least, against the request's aim
+constexpr double kSilentShare = 0.35;     // ... and, at least, against the request's aim
 constexpr double kTryShare = 0.6;      // of the time left that one attempt may take while others could follow
 constexpr double kEjectAt = 0.5;       // failure level that ejects a server
 constexpr double kFailureStep = 0.34;  // what one outcome moves it
@@ -89,15 +90,16 @@
   LoadReport report;
   double reportAt = -1e9, foreignTokens = 0;  // prompt tokens that others have queued there
   double score = 0.5;
-  Learned readCost{kForget, kRise}, readWait{kScoreWindow}, wait, pace, trust;  // trust: share of the credited prompt tokens found kept
+  Learned readCost{kForget, kRise}, readWait{kScoreWindow}, wait, pace,
+      trust;  // trust: share of the credited prompt tokens found kept
   // Health.
   double failures = 0, ejectedUntil = -1e9, fullUntil = -1e9;
   int strikes = 0;
   bool trial = false, lostContact = false;
   double coldSince = -1e9;
   std::deque<std::pair<double, double>> coldSends;  // time and weight of the sends within the cold window
-  double readVolume = 0;     // prompt tokens that it has read anew for us
-  double answeredAt = -1e9;  // when it last finished a read or began an answer
+  double readVolume = 0;                            // prompt tokens that it has read anew for us
+  double answeredAt = -1e9;                         // when it last finished a read or began an answer
   double nextProbe = 0;
 
   bool serving() const { return entry.state == ServerEntry::State::kServing; }
@@ -116,13 +118,14 @@
   int sends = 0, timeouts = 0, writerFailures = 0;
   bool out = false, whole = false;  // an attempt is out; it reads and writes in one place
   ServerId server;                  // of the attempt that is out or was last
-  double sentAt = 0, expected = 0, readTokens = 0, planTokens = 1, credit = 0, need = 0, transfer = 0, streamAt = 0;
+  double sentAt = 0, expected = 0, readTokens = 0, planTokens = 1, credit = 0, need = 0, transfer = 0,
+         streamAt = 0;
   ServerId reader;  // where the state waits
   double heldSince = 0;
   bool mayHaveRun = false;  // some attempt may have had its effect ...
   double firstRunAt = 0;    // ... the first was sent then, to this zone and cell
   std::uint32_t runZone = 0, runCell = 0;
-  bool calledOff = false;                     // the attempt that is out was cancelled for silence
+  bool calledOff = false;  // the attempt that is out was cancelled for silence
   std::vector<ServerId> failedOn;
 };
 
@@ -180,8 +183,8 @@
       s.failures = s.foreignTokens = 0;
       s.report = {};
       s.readCost = Learned(kForget, kRise);
-s.readWait = Learned(kScoreWindow);
- s.wait = s.pace = s.trust = Learned();
+      s.readWait = Learned(kScoreWindow);
+      s.wait = s.pace = s.trust = Learned();
       s.trial = s.lostContact = false;
       s.ejectedUntil = -1e9;
     }
@@ -407,8 +410,8 @@
   bool fresh(const Server& s) const { return now_ - s.reportAt < kReportFresh; }
 
   // ---- Estimates ----
-  // Seconds a prompt token. What others queue at a reader makes its figure swing; only one that stands out from
-  // its peers counts as slow, or sessions would move for noise and lose what their reader keeps.
+  // Seconds a prompt token. What others queue at a reader makes its figure swing; only one that stands out
+  // from its peers counts as slow, or sessions would move for noise and lose what their reader keeps.
   double readRate(const Server& s) const {
     const double own = s.readCost.get(now_, readPrior_);
     return own > kOutlier * readPrior_ ? own : readPrior_;
@@ -473,8 +476,7 @@
     const auto it = key == 0 ? kept_.end() : kept_.find(key);
     if (it == kept_.end()) return 0;
     for (const Kept& k : it->second) {
-      if (k.server == s.entry.id && k.generation == s.generation)
-        return k.tokens * lasting(k, s);
+      if (k.server == s.entry.id && k.generation == s.generation) return k.tokens * lasting(k, s);
     }
     return 0;
   }
@@ -564,8 +566,10 @@
       const bool mixed = s.entry.role == Role::kMixed;
       if (!s.reads() && !mixed) continue;
       if (!mayTake(s, r, strict) || (mixed && !mayRunOn(r, s))) continue;
-      const double time = readTime(s, r.ask.promptTokens - credit(s, r));
-      double cost = time + kScoreTime * s.score + ill(s) + (s.entry.zone == set_.zone ? 0 : kFarBias);
+      const double fresh = r.ask.promptTokens - credit(s, r);
+      const double time = readTime(s, fresh);
+      double cost = time + kMissWeight * readRate(s) * fresh + kScoreTime * s.score + ill(s) +
+                    (s.entry.zone == set_.zone ? 0 : kFarBias);
       cost += mixed ? s.wait.get(now_, waitPrior_) + (yields(s) ? kYield : 0) : cheapestWrite(s, r);
       if (cost < best.cost || (cost == best.cost && tie(r, s) < tie(r, *best.server)))
         best = {&s, cost, time, mixed};
@@ -630,12 +634,14 @@
     const bool enough = plan.whole || r.sends + 2 <= set_.maxAttempts;
     if (plan.server != nullptr && !enough) return finish(r), true;
     const bool inTime = plan.server != nullptr && now_ + plan.time < r.deadline;
-    const bool deep = plan.server != nullptr && readTime(*plan.server, 0) > kQueueShare * (r.aimAt - r.arrived);
+    const bool deep =
+        plan.server != nullptr && readTime(*plan.server, 0) > kQueueShare * (r.aimAt - r.arrived);
     if (inTime && !deep && roomAhead(r)) {
       sendRead(r, plan);
       return true;
     }
-  // Long queues at readers push out the text they keep and so slow them further. Waiting here costs no server anything, but what cannot come in time is refused early.
+    // Long queues at readers push out the text they keep and so slow them further. Waiting here costs no
+    // server anything, but what cannot come in time is refused early.
     const double patience = r.arrived + 0.5 * (r.aimAt - r.arrived);
     if (now_ > patience || (plan.server != nullptr && !inTime)) return finish(r), true;
     return false;
@@ -801,8 +807,8 @@
       case Outcome::kPrefilled:
         usual_[0].add(sec(e.elapsed), now_);
         s.readWait.add(std::max(0.0, sec(e.elapsed) - readRate(s) * r.planTokens), now_);
- s.readCost.add(sec(e.elapsed) / r.planTokens, now_);
-    s.readVolume += r.ask.promptTokens - e.keptTokens;
+        s.readCost.add(sec(e.elapsed) / r.planTokens, now_);
+        s.readVolume += r.ask.promptTokens - e.keptTokens;
         if (r.credit > 0) s.trust.add(std::min(1.0, e.keptTokens / r.credit), now_);
         keep(r.ask.session, s, r.ask.promptTokens);
         keep(r.ask.prefix, s, r.ask.prefixTokens);
