--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -144,6 +144,7 @@
 class Policy::Impl {
  public:
   explicit Impl(Settings settings) : set_(std::move(settings)), random_(set_.seed | 1) {
+    for (const ClassSettings& c : set_.classes) shortestAim_ = std::min(shortestAim_, sec(c.aim));
     for (const TenantSettings& t : set_.tenants) buckets_.push_back({2 * t.quotaPerSecond / set_.nodes, 0});
   }
 
@@ -203,7 +204,8 @@
     r.overShare = !withinShare(ask);
     arrivals_.first += 1;
     meanPrompt_.add(ask.promptTokens, now_);
-    if (!dispatch(r)) queue_.push_back(ask.id);
+    queue_.push_back(ask.id);
+    drainQueue();
   }
 
   void on(const AttemptEnded& e) {
@@ -337,14 +339,21 @@
   }
 
   void drainQueue() {
-    std::deque<RequestId> queue;
+    std::vector<RequestId> queue;
     queue.swap(queue_);
+    std::stable_sort(queue.begin(), queue.end(), [this](const RequestId& a, const RequestId& b) {
+      return aimOf(a) < aimOf(b);
+    });
     for (const RequestId& id : queue) {
       const auto it = requests_.find(id);
       if (it == requests_.end() || it->second.answered || it->second.stage != Stage::kQueued) continue;
       if (!dispatch(it->second)) queue_.push_back(id);
     }
   }
+  double aimOf(const RequestId& id) const {
+    const auto it = requests_.find(id);
+    return it == requests_.end() ? 0 : it->second.aimAt;
+  }
 
   // Probes serve the load reports. Their rate keeps what they cost under a fixed part of the result.
   void probeServers() {
@@ -635,7 +644,7 @@
     if (plan.server != nullptr && !enough) return finish(r), true;
     const bool inTime = plan.server != nullptr && now_ + plan.time < r.deadline;
     const bool deep =
-        plan.server != nullptr && readTime(*plan.server, 0) > kQueueShare * (r.aimAt - r.arrived);
+        plan.server != nullptr && readTime(*plan.server, 0) > kQueueShare * shortestAim_;
     if (inTime && !deep && roomAhead(r)) {
       sendRead(r, plan);
       return true;
@@ -759,7 +768,8 @@
     if (holds) act(Release{r.ask.id});
     r.stage = Stage::kQueued;
     r.whole = false;
-    if (!dispatch(r)) queue_.push_back(r.ask.id);
+    queue_.push_back(r.ask.id);
+    drainQueue();
   }
 
   // The one place where the module ends a request.
@@ -906,11 +916,12 @@
   Settings set_;
   std::uint64_t random_;
   double now_ = 0, scoredAt_ = 0, askAt_ = 0;
+  double shortestAim_ = 1e9;
   bool started_ = false;
   std::vector<Action>* out_ = nullptr;
   std::map<ServerId, Server> servers_;
   std::map<RequestId, Request> requests_;
-  std::deque<RequestId> queue_;  // requests that wait here, oldest first
+  std::vector<RequestId> queue_;  // requests that wait here, oldest first
   std::vector<RequestId> ended_;
   std::unordered_map<std::uint64_t, std::vector<Kept>> kept_;  // never walked in its own order
   std::map<std::pair<std::uint32_t, int>, Learned>
