Let requests in by the writers' expected wait; probe writers only

Cause: writers' memory figures were stale, queues there showed only in first-token times. Catches slow links and slow writers as well as full ones. May hold back needlessly when one writer's wait is misread.

--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -19,7 +19,7 @@
 // ---- Tuned values. Times in seconds. ----
 constexpr double kSweep = 0.02;           // period of the housekeeping timer
 constexpr double kScoreWindow = 2;        // smoothing of the load score's indicators
-constexpr double kReportFresh = 3;        // a load report older than this says nothing
+constexpr double kReportFresh = 5;        // a load report older than this says nothing
 constexpr double kForget = 8;             // learned figures fade towards their peers' over this
 constexpr double kMemory = 5;             // samples that a learned figure averages over
 constexpr double kPriorWeight = 0.5;      // samples that the peers' figure counts for
@@ -38,12 +38,12 @@
 constexpr double kMemoryPrior = 2e5;      // tokens, of a server that does not tell its memory
 constexpr std::size_t kMostKept = 50000;  // its entries before old ones are dropped
 constexpr double kNearlyFull = 0.9;       // a writer's memory share from which it yields
-constexpr double kYield = 0.3;            // cost of a writer that should yield
-constexpr double kRecent = 1.5;           // how long a send is taken not to show in the reports yet
-constexpr double kMostFilled = 0.97;      // writers' memory share up to which requests are let in
-constexpr double kMostFilledOver = 0.75;  // ... those beyond their tenant's share
-constexpr double kTimeoutFactor = 3;      // a time-out against the time expected of the work
-constexpr double kSilentShare = 0.35;     // ... and, at least, against the request's aim
+constexpr double kYieldShare = 0.3;       // cost of a writer that should yield, of the shortest aim
+constexpr double kWriterShare = 0.25;   // writers' wait up to which requests are let in, of the shortest aim
+constexpr double kOverShareRoom = 0.4;  // ... and of that, for those beyond their tenant's share
+constexpr double kRecent = 1.5;         // how long a send is taken not to show in the reports yet
+constexpr double kTimeoutFactor = 3;    // a time-out against the time expected of the work
+constexpr double kSilentShare = 0.35;   // ... and, at least, against the request's aim
 constexpr double kTryShare = 0.6;      // of the time left that one attempt may take while others could follow
 constexpr double kEjectAt = 0.5;       // failure level that ejects a server
 constexpr double kFailureStep = 0.34;  // what one outcome moves it
@@ -90,7 +90,7 @@
   LoadReport report;
   double reportAt = -1e9, foreignTokens = 0;  // prompt tokens that others have queued there
   double score = 0.5;
-  Learned readCost{kForget, kRise}, readWait{kScoreWindow}, wait, pace,
+  Learned readCost{kForget, kRise}, readWait{kScoreWindow}, wait{kScoreWindow}, pace,
       trust;  // trust: share of the credited prompt tokens found kept
   // Health.
   double failures = 0, ejectedUntil = -1e9, fullUntil = -1e9;
@@ -185,7 +185,8 @@
       s.report = {};
       s.readCost = Learned(kForget, kRise);
       s.readWait = Learned(kScoreWindow);
-      s.wait = s.pace = s.trust = Learned();
+      s.wait = Learned(kScoreWindow);
+      s.pace = s.trust = Learned();
       s.trial = s.lostContact = false;
       s.ejectedUntil = -1e9;
     }
@@ -341,9 +342,8 @@
   void drainQueue() {
     std::vector<RequestId> queue;
     queue.swap(queue_);
-    std::stable_sort(queue.begin(), queue.end(), [this](const RequestId& a, const RequestId& b) {
-      return aimOf(a) < aimOf(b);
-    });
+    std::stable_sort(queue.begin(), queue.end(),
+                     [this](const RequestId& a, const RequestId& b) { return aimOf(a) < aimOf(b); });
     for (const RequestId& id : queue) {
       const auto it = requests_.find(id);
       if (it == requests_.end() || it->second.answered || it->second.stage != Stage::kQueued) continue;
@@ -362,10 +362,12 @@
     arrivals_.second = now_;
     if (!set_.probesAllowed || set_.reporting == Reporting::kNone) return;
     const double rate = std::max(arrivals_.first / span, 0.5);
-    const double each = static_cast<double>(servers_.size()) * set_.probePrice / (kProbeBudget * rate);
+    double writers = 0;
+    for (const auto& [id, s] : servers_) writers += s.serving() && !s.reads();
+    const double each = writers * set_.probePrice / (kProbeBudget * rate);
     const double interval = std::clamp(each, 0.4, 5.0);
     for (auto& [id, s] : servers_) {
-      if (!s.serving() || now_ < s.nextProbe) continue;
+      if (!s.serving() || s.reads() || now_ < s.nextProbe) continue;
       s.nextProbe = now_ + interval;
       act(Probe{id});
     }
@@ -460,12 +462,15 @@
   bool yields(const Server& s) const {
     return filled(s) > kNearlyFull || (fresh(s) && s.report.queued.value_or(0) >= 1) || now_ < s.fullUntil;
   }
-
   double writeCost(const Server& from, const Server& to, double tokens) const {
-    double cost = transferTime(from, to, tokens) + to.wait.get(now_, waitPrior_) * (0.5 + to.score) + ill(to);
-    cost += 0.3 * std::max(0.0, to.pace.get(now_, pacePrior_) / pacePrior_ - 1.3);
-    if (yields(to)) cost += kYield + 3 * std::max(0.0, filled(to) - kNearlyFull);
-    return cost;
+    return transferTime(from, to, tokens) + writerWait(to);
+  }
+
+  double writerWait(const Server& s) const {
+    double wait = s.wait.get(now_, waitPrior_) * (0.5 + s.score) + ill(s);
+    wait += 0.3 * std::max(0.0, s.pace.get(now_, pacePrior_) / pacePrior_ - 1.3);
+    if (yields(s)) wait += kYieldShare * shortestAim_ + 3 * std::max(0.0, filled(s) - kNearlyFull);
+    return wait;
   }
 
   double expectedOutput(const Request& r) const {
@@ -579,7 +584,8 @@
       const double time = readTime(s, fresh);
       double cost = time + kMissWeight * readRate(s) * fresh + kScoreTime * s.score + ill(s) +
                     (s.entry.zone == set_.zone ? 0 : kFarBias);
-      cost += mixed ? s.wait.get(now_, waitPrior_) + (yields(s) ? kYield : 0) : cheapestWrite(s, r);
+      cost += mixed ? s.wait.get(now_, waitPrior_) + (yields(s) ? kYieldShare * shortestAim_ : 0)
+                    : cheapestWrite(s, r);
       if (cost < best.cost || (cost == best.cost && tie(r, s) < tie(r, *best.server)))
         best = {&s, cost, time, mixed};
     }
@@ -600,7 +606,7 @@
   }
 
   double cheapestWrite(const Server& reader, const Request& r) const {
-    double best = kYield * 4;
+    double best = shortestAim_;
     for (const auto& [id, s] : servers_) {
       if (s.entry.role == Role::kDecode && s.serving() && healthy(s)) {
         best = std::min(best, writeCost(reader, s, r.ask.promptTokens));
@@ -643,8 +649,7 @@
     const bool enough = plan.whole || r.sends + 2 <= set_.maxAttempts;
     if (plan.server != nullptr && !enough) return finish(r), true;
     const bool inTime = plan.server != nullptr && now_ + plan.time < r.deadline;
-    const bool deep =
-        plan.server != nullptr && readTime(*plan.server, 0) > kQueueShare * shortestAim_;
+    const bool deep = plan.server != nullptr && readTime(*plan.server, 0) > kQueueShare * shortestAim_;
     if (inTime && !deep && roomAhead(r)) {
       sendRead(r, plan);
       return true;
@@ -655,16 +660,15 @@
     if (now_ > patience || (plan.server != nullptr && !inTime)) return finish(r), true;
     return false;
   }
-
-  // Load shedding: a prompt is read only when some writer will have memory for it. Traffic beyond its
-  // tenant's share gives way earlier.
+  // Load shedding: a prompt is read only when some writer can take it soon. Traffic beyond its tenant's
+  // share gives way earlier.
   bool roomAhead(const Request& r) const {
-    const double most = r.overShare ? kMostFilledOver : kMostFilled;
+    const double most = kWriterShare * shortestAim_ * (r.overShare ? kOverShareRoom : 1);
     bool any = false;
     for (const auto& [id, s] : servers_) {
       if (s.reads() || s.entry.role == Role::kUnknown || !s.serving() || now_ < s.ejectedUntil) continue;
       any = true;
-      if (filled(s) <= most && now_ >= s.fullUntil) return true;
+      if (writerWait(s) <= most) return true;
     }
     return !any;
   }
