--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -7,9 +7,11 @@
 #include "gannetcourse/policy.h"
 
 #include <algorithm>
+#include <array>
 #include <cmath>
 #include <deque>
 #include <map>
+#include <set>
 #include <unordered_map>
 #include <utility>
 
@@ -31,14 +33,15 @@
 constexpr double kScoreTime = 0.1;        // what a reader's load score of 1 weighs
 constexpr double kMissWeight = 1;         // what reading a token anew costs those who come after
 constexpr double kWaitPrior = 0.05;       // a writer's wait before the first token
-constexpr double kLinkPrior[] = {5e-6, 2e-5,
-                                 4e-5};   // moving a state, a token: in a cell, a zone, across zones
-constexpr double kFarBias = 0.02;         // prices of leaving the cell or the zone, as time
-constexpr double kKeepFor = 120;          // ageing of the prefix table
-constexpr double kMemoryPrior = 2e5;      // tokens, of a server that does not tell its memory
-constexpr std::size_t kMostKept = 50000;  // its entries before old ones are dropped
-constexpr double kNearlyFull = 0.9;       // a writer's memory share from which it yields
-constexpr double kYieldShare = 0.3;       // cost of a writer that should yield, of the shortest aim
+constexpr double kLinkPrior[] = {5e-6, 2e-5, 4e-5};  // a state's move, a token: cell, zone, beyond
+constexpr double kFarBias = 0.02;                    // prices of leaving the cell or the zone, as time
+constexpr double kKeepFor = 120;                     // ageing of the prefix table
+constexpr double kMemoryPrior = 2e5;                 // tokens, of a server that does not tell its memory
+constexpr std::size_t kMostKept = 50000;             // its entries before old ones are dropped
+constexpr double kLastResort = 100;                  // cost of having a pure writer read
+constexpr int kMostHeldTried = 16;      // requests that may stay before a pass over our queue ends
+constexpr double kNearlyFull = 0.9;     // a writer's memory share from which it yields
+constexpr double kYieldShare = 0.3;     // cost of a writer that should yield, of the shortest aim
 constexpr double kWriterShare = 0.25;   // writers' wait up to which requests are let in, of the shortest aim
 constexpr double kOverShareRoom = 0.4;  // ... and of that, for those beyond their tenant's share
 constexpr double kRecent = 1.5;         // how long a send is taken not to show in the reports yet
@@ -52,6 +55,7 @@
 constexpr double kStrikesForgotten = 15;  // healthy time that clears the doubling
 constexpr double kFullPause = 0.15;       // a server that refused for a full queue is passed over for this
 constexpr double kColdSafety = 0.6;       // share of the cold budget that is used
+constexpr double kProbeOften = 0.4;       // a server is probed no more often than this
 constexpr double kProbeBudget = 0.004;    // result that probing may cost
 constexpr double kAskAgain = 0.7;         // pause after a failed discovery call
 
@@ -60,7 +64,8 @@
 // A figure learned from samples: recent ones count most, and without new ones it fades towards `prior`.
 class Learned {
  public:
-  explicit Learned(double forget = kForget, double rise = 1) : forget_(forget), rise_(rise) {}
+  Learned() = default;
+  Learned(double forget, double rise) : forget_(forget), rise_(rise) {}
   void add(double sample, double now) {
     weight_ = std::min(weightAt(now) + 1, kMemory);
     value_ += (sample - value_) / weight_ * (sample > value_ && weight_ > 1 ? rise_ : 1);
@@ -74,33 +79,33 @@
 
  private:
   double weightAt(double now) const { return weight_ * std::exp((at_ - now) / forget_); }
-  double forget_, rise_;  // a rise below 1 learns a low quantile
+  double forget_ = kForget, rise_ = 1;  // a rise below 1 learns a low quantile
   double value_ = 0, weight_ = 0, at_ = 0;
 };
 
-struct Server {
-  ServerEntry entry;
-  int generation = 0;  // counts restarts: what an earlier process kept is gone
-  // Our own record of work out.
-  int reading = 0, waiting = 0, streaming = 0, sending = 0;
-  double queuedTokens = 0, heldTokens = 0;  // prompt tokens to read; tokens of our states and streams
-  double recentTokens = 0, recentAt = 0;    // sent lately, fading: not in its reports yet
-  double overdue = 0;                       // how far its oldest unanswered attempt is past what was expected
-  // What it reports and how it did.
+// What is known of a server's process; a restart wipes it.
+struct Process {
   LoadReport report;
-  double reportAt = -1e9, foreignTokens = 0;  // prompt tokens that others have queued there
+  double reportAt = -1e9;
   double score = 0.5;
-  Learned readCost{kForget, kRise}, readWait{kScoreWindow}, wait{kScoreWindow}, pace,
-      trust;  // trust: share of the credited prompt tokens found kept
-  // Health.
+  Learned readCost{kForget, kRise}, wait{kScoreWindow, 1};
+  Learned trust;                          // share of the credited prompt tokens found kept
+  double readVolume = 0;                  // prompt tokens that it has read anew for us
+  double recentTokens = 0, recentAt = 0;  // sent to it lately, fading: not in its reports yet
+  double overdue = 0;                     // how far its oldest unanswered attempt is past what was expected
+  double answeredAt = -1e9;               // when it last finished a read or began an answer
   double failures = 0, ejectedUntil = -1e9, fullUntil = -1e9;
   int strikes = 0;
   bool trial = false, lostContact = false;
-  double coldSince = -1e9;
+};
+
+struct Server : Process {
+  ServerEntry entry;
+  int generation = 0;  // counts restarts: what an earlier process kept is gone
+  int reading = 0, waiting = 0, streaming = 0, sending = 0;  // our own record of work out
+  double queuedTokens = 0, heldTokens = 0;                   // prompt tokens to read; states and streams
+  double coldSince = -1e9, nextProbe = 0;
   std::deque<std::pair<double, double>> coldSends;  // time and weight of the sends within the cold window
-  double readVolume = 0;                            // prompt tokens that it has read anew for us
-  double answeredAt = -1e9;                         // when it last finished a read or began an answer
-  double nextProbe = 0;
 
   bool serving() const { return entry.state == ServerEntry::State::kServing; }
   bool reads() const { return entry.role == Role::kPrefill; }
@@ -118,8 +123,7 @@
   int sends = 0, timeouts = 0, writerFailures = 0;
   bool out = false, whole = false;  // an attempt is out; it reads and writes in one place
   ServerId server;                  // of the attempt that is out or was last
-  double sentAt = 0, expected = 0, readTokens = 0, planTokens = 1, credit = 0, need = 0, transfer = 0,
-         streamAt = 0;
+  double sentAt = 0, expected = 0, readTokens = 0, planTokens = 1, credit = 0, need = 0, transfer = 0;
   ServerId reader;  // where the state waits
   double heldSince = 0;
   bool mayHaveRun = false;  // some attempt may have had its effect ...
@@ -135,10 +139,6 @@
   double tokens, at, volume;
 };
 
-struct Bucket {
-  double tokens = 0, at = 0;
-};
-
 }  // namespace
 
 class Policy::Impl {
@@ -181,14 +181,7 @@
     if (added) s.nextProbe = now_ + draw() * 0.5;
     if (restarted && !added) {  // an empty, cold process: nothing learned of the last one holds
       ++s.generation;
-      s.failures = s.foreignTokens = 0;
-      s.report = {};
-      s.readCost = Learned(kForget, kRise);
-      s.readWait = Learned(kScoreWindow);
-      s.wait = Learned(kScoreWindow);
-      s.pace = s.trust = Learned();
-      s.trial = s.lostContact = false;
-      s.ejectedUntil = -1e9;
+      static_cast<Process&>(s) = Process{};
     }
     if (restarted) s.coldSince = std::max(s.coldSince, entry.startedAt->time_since_epoch().count());
     s.entry = entry;
@@ -203,10 +196,10 @@
     r.aimAt = std::min(r.deadline, now_ + sec(c.aim) + sec(c.aimPerToken) * ask.promptTokens);
     r.need = ask.promptTokens + expectedOutput(r);
     r.overShare = !withinShare(ask);
-    arrivals_.first += 1;
+    if (lastArrival_ > 0) gap_.add(now_ - lastArrival_, now_);
+    lastArrival_ = now_;
     meanPrompt_.add(ask.promptTokens, now_);
-    queue_.push_back(ask.id);
-    drainQueue();
+    enqueue(r);
   }
 
   void on(const AttemptEnded& e) {
@@ -214,7 +207,6 @@
     const auto it = requests_.find(e.id);
     if (it == requests_.end() || !it->second.out) return;
     Request& r = it->second;
-    const bool wasStreaming = r.stage == Stage::kStreaming;
     learnOutcome(r, e);
     closeAttempt(r);
     if (e.requestOver || r.answered) {
@@ -228,7 +220,7 @@
       r.writerFailures = 0;
       pickWriterOrHold(r);
     } else {
-      onFailure(r, e, wasStreaming);
+      onFailure(r, e);
     }
   }
 
@@ -245,15 +237,14 @@
     (r.stage == Stage::kReading ? s.reading : s.waiting) -= 1;
     s.streaming += 1;
     r.stage = Stage::kStreaming;
-    r.streamAt = now_;
     recovered(s);
   }
 
   void on(const ProbeEnded& e) {
     if (e.load) learnReport(e.server, *e.load);
-    const auto it = servers_.find(e.server);
+    Server* s = find(e.server);
     // A probe that waits too long may only stand in a queue; one that cannot connect is a sign of illness.
-    if (it != servers_.end() && e.outcome == Outcome::kConnectFailed) blame(it->second, e.outcome);
+    if (s != nullptr && e.outcome == Outcome::kConnectFailed) blame(*s, e.outcome);
   }
 
   void on(const HoldAnswered&) {}  // places are not held ahead: the writer is picked after the read
@@ -262,20 +253,14 @@
 
   void on(const ClientGone& e) {
     const auto it = requests_.find(e.id);
-    if (it == requests_.end() || it->second.answered) return;
-    Request& r = it->second;
-    r.answered = true;
-    letGo(r);
-    if (!r.out) requests_.erase(it);
+    if (it != requests_.end() && !it->second.answered) letGo(it->second);
   }
 
   // ---- Housekeeping ----
   void sweep() {
     act(SetTimer{Instant(Duration(now_ + kSweep)), "sweep"});
-    watchAttempts();
+    watchRequests();
     updateScores();
-    endOverdue();
-    retryHeld();
     drainQueue();
     probeServers();
     if (askAt_ > 0 && now_ >= askAt_) {
@@ -291,19 +276,26 @@
     }
   }
 
-  // Guards against silence: a server whose work is out for much longer than expected is avoided before any
-  // time-out tells so. Also catches stalls and crawling links; a burst of long prompts may trip it briefly.
-  void watchAttempts() {
+  // Every request has its answer before the client's time is up, whatever is out for it; a state that found
+  // no writer is offered again. Guards against silence: a server whose work is out for longer than expected
+  // is avoided before any time-out tells so, and its attempts are called off while others could follow. Also
+  // catches stalls and crawling links; a burst of long prompts may trip it briefly.
+  void watchRequests() {
+    const double margin = kSweep + 2 * sec(set_.tick) + 0.002;
     for (auto& [id, s] : servers_) s.overdue = 0;
     for (auto& [id, r] : requests_) {
-      if (!r.out || r.stage == Stage::kStreaming) continue;
-      Server& s = servers_[r.server];
-      if (s.answeredAt >= r.sentAt) continue;
-      const double age = now_ - r.sentAt;
-      s.overdue = std::max(s.overdue, age - patience(r) / 2);
-      if (age <= patience(r) || r.answered || r.calledOff || !set_.cancelAllowed || !mayTryOn(r)) continue;
-      r.calledOff = true;
-      act(Cancel{id, r.sends - 1});
+      if (r.answered || r.stage == Stage::kStreaming) continue;
+      if (now_ + margin >= r.deadline) {
+        finish(r);
+      } else if (r.stage == Stage::kHolding) {
+        pickWriterOrHold(r);
+      } else if (r.out && servers_[r.server].answeredAt < r.sentAt) {
+        const double late = now_ - r.sentAt - patience(r);
+        servers_[r.server].overdue = std::max(servers_[r.server].overdue, late + patience(r) / 2);
+        if (late <= 0 || r.calledOff || !set_.cancelAllowed || !mayTryOn(r)) continue;
+        r.calledOff = true;
+        act(Cancel{id, r.sends - 1});
+      }
     }
   }
 
@@ -320,52 +312,29 @@
     const bool effectDone = runsEffect(r) && classOf(r).effect == Effect::kUnsafe;
     return !effectDone && r.sends + (r.stage == Stage::kReading ? 2 : 1) <= set_.maxAttempts;
   }
-
-  // Every request has its answer before the client's time is up, whatever is out for it.
-  void endOverdue() {
-    const double margin = kSweep + 2 * sec(set_.tick) + 0.002;
-    std::vector<RequestId> late;
-    for (const auto& [id, r] : requests_) {
-      if (!r.answered && r.stage != Stage::kStreaming && now_ + margin >= r.deadline) late.push_back(id);
-    }
-    for (const RequestId& id : late) finish(requests_.at(id));
-  }
-
-  void retryHeld() {
-    std::vector<RequestId> held;
-    for (const auto& [id, r] : requests_) {
-      if (!r.answered && r.stage == Stage::kHolding && !r.out) held.push_back(id);
-    }
-    for (const RequestId& id : held) pickWriterOrHold(requests_.at(id));
+  // A request that is alone goes at once, others with the next sweep.
+  void enqueue(Request& r) {
+    queue_.emplace(r.aimAt, r.ask.id);
+    if (queue_.size() == 1) drainQueue();
   }
 
   void drainQueue() {
-    std::vector<RequestId> queue;
-    queue.swap(queue_);
-    std::stable_sort(queue.begin(), queue.end(),
-                     [this](const RequestId& a, const RequestId& b) { return aimOf(a) < aimOf(b); });
-    for (const RequestId& id : queue) {
-      const auto it = requests_.find(id);
-      if (it == requests_.end() || it->second.answered || it->second.stage != Stage::kQueued) continue;
-      if (!dispatch(it->second)) queue_.push_back(id);
+    int held = 0;
+    for (auto next = queue_.begin(); next != queue_.end() && held < kMostHeldTried;) {
+      const auto it = requests_.find(next->second);
+      const bool waits = it != requests_.end() && !it->second.answered && it->second.stage == Stage::kQueued;
+      const bool stays = waits && !dispatch(it->second);
+      held += stays;
+      next = stays ? std::next(next) : queue_.erase(next);
     }
   }
-  double aimOf(const RequestId& id) const {
-    const auto it = requests_.find(id);
-    return it == requests_.end() ? 0 : it->second.aimAt;
-  }
-
   // Probes serve the load reports. Their rate keeps what they cost under a fixed part of the result.
   void probeServers() {
-    const double span = 5;
-    arrivals_.first *= std::exp((arrivals_.second - now_) / span);
-    arrivals_.second = now_;
     if (!set_.probesAllowed || set_.reporting == Reporting::kNone) return;
-    const double rate = std::max(arrivals_.first / span, 0.5);
     double writers = 0;
     for (const auto& [id, s] : servers_) writers += s.serving() && !s.reads();
-    const double each = writers * set_.probePrice / (kProbeBudget * rate);
-    const double interval = std::clamp(each, 0.4, 5.0);
+    const double each = writers * set_.probePrice / kProbeBudget * gap_.get(now_, 1);
+    const double interval = std::clamp(each, kProbeOften, kReportFresh);
     for (auto& [id, s] : servers_) {
       if (!s.serving() || s.reads() || now_ < s.nextProbe) continue;
       s.nextProbe = now_ + interval;
@@ -376,37 +345,37 @@
   // ---- The load score ----
   // Equal weights over the indicators at hand, each brought to 0..1 and smoothed; an indicator that a server
   // has not told counts as the average of its role.
+  using Indicators = std::array<std::optional<double>, 5>;  // the first three are counts, the others shares
+  Indicators indicators(const Server& s) const {
+    const LoadReport told = fresh(s) ? s.report : LoadReport{};
+    return {s.unanswered(), s.streaming, s.sending, told.memoryShare, told.busyShare};
+  }
+
   void updateScores() {
     const double step = 1 - std::exp(-(now_ - scoredAt_) / kScoreWindow);
     scoredAt_ = now_;
-    for (const Role role : {Role::kPrefill, Role::kDecode, Role::kMixed}) {
-      double count = 0, waiting = 0, running = 0, sending = 0, memory = 0, memories = 0, busy = 0, busies = 0;
-      for (const auto& [id, s] : servers_) {
-        if (s.entry.role != role || !s.serving()) continue;
-        count += 1;
-        waiting += s.waiting + s.reading;
-        running += s.streaming;
-        sending += s.sending;
-        if (fresh(s) && s.report.memoryShare) memory += *s.report.memoryShare, memories += 1;
-        if (fresh(s) && s.report.busyShare) busy += *s.report.busyShare, busies += 1;
+    std::map<Role, std::array<std::pair<double, double>, 5>>
+        totals;  // of each role's indicators, and how many
+    for (const auto& [id, s] : servers_) {
+      for (std::size_t i = 0; i < 5 && s.serving(); ++i) {
+        if (const auto value = indicators(s)[i])
+          totals[s.entry.role][i].first += *value, totals[s.entry.role][i].second += 1;
       }
-      const auto share = [&](double mine, double all) { return all > 0 ? mine / (mine + all / count) : 0.5; };
-      for (auto& [id, s] : servers_) {
-        if (s.entry.role != role || !s.serving()) continue;
-        double sum =
-            share(s.waiting + s.reading, waiting) + share(s.streaming, running) + share(s.sending, sending);
-        double terms = 3;
-        if (memories > 0)
-          sum += fresh(s) ? s.report.memoryShare.value_or(memory / memories) : memory / memories, ++terms;
-        if (busies > 0) sum += fresh(s) ? s.report.busyShare.value_or(busy / busies) : busy / busies, ++terms;
-        s.score += (sum / terms - s.score) * step;
+    }
+    for (auto& [id, s] : servers_) {
+      double sum = 0, terms = 0;
+      for (std::size_t i = 0; i < 5; ++i) {
+        const auto [total, count] = totals[s.entry.role][i];
+        if (count == 0) continue;
+        const double mean = total / count, mine = indicators(s)[i].value_or(mean);
+        sum += i > 2 ? mine : mean > 0 ? mine / (mine + mean) : 0.5;
+        terms += 1;
       }
+      if (terms > 0) s.score += (sum / terms - s.score) * step;
     }
     readPrior_ = median(Role::kPrefill, &Server::readCost, kReadPrior);
     waitPrior_ = median(Role::kDecode, &Server::wait, kWaitPrior);
-    pacePrior_ = median(Role::kDecode, &Server::pace, 1);
   }
-
   double median(Role role, Learned Server::*figure, double otherwise) const {
     std::vector<double> values;
     for (const auto& [id, s] : servers_) {
@@ -450,25 +419,19 @@
   // Share of a writer's memory that is held: as reported and what was sent since, or by our own record as
   // if every node sent as much as we do.
   double filled(const Server& s) const {
-    const double slots = fresh(s) ? s.report.busyShare.value_or(0) : 0;
-    if (s.entry.memoryTokens <= 0)
-      return fresh(s) ? std::max(slots, s.report.memoryShare.value_or(0)) : slots;
-    const double own = s.heldTokens / s.entry.memoryTokens;
-    if (!fresh(s) || !s.report.memoryShare) return std::max(slots, own * set_.nodes);
+    const LoadReport told = fresh(s) ? s.report : LoadReport{};
+    const double room = s.entry.memoryTokens > 0 ? s.entry.memoryTokens : 1e18;
     const double recent = s.recentTokens * std::exp((s.recentAt - now_) / kRecent) * set_.nodes / 2;
-    return std::max({slots, own, *s.report.memoryShare + recent / s.entry.memoryTokens});
+    const double memory =
+        told.memoryShare ? *told.memoryShare + recent / room : s.heldTokens * set_.nodes / room;
+    return std::max({memory, s.heldTokens / room, told.busyShare.value_or(0)});
   }
 
   bool yields(const Server& s) const {
     return filled(s) > kNearlyFull || (fresh(s) && s.report.queued.value_or(0) >= 1) || now_ < s.fullUntil;
   }
-  double writeCost(const Server& from, const Server& to, double tokens) const {
-    return transferTime(from, to, tokens) + writerWait(to);
-  }
-
   double writerWait(const Server& s) const {
     double wait = s.wait.get(now_, waitPrior_) * (0.5 + s.score) + ill(s);
-    wait += 0.3 * std::max(0.0, s.pace.get(now_, pacePrior_) / pacePrior_ - 1.3);
     if (yields(s)) wait += kYieldShare * shortestAim_ + 3 * std::max(0.0, filled(s) - kNearlyFull);
     return wait;
   }
@@ -485,22 +448,19 @@
         std::max(keptAt(r.ask.session, s), std::min(keptAt(r.ask.prefix, s), r.ask.prefixTokens));
     return std::min(most, r.ask.promptTokens) * std::min(1.0, s.trust.get(now_, 1));
   }
-
+  // Tokens of a text that a server still keeps. They age by what it has read since, by our record as if every
+  // node sent as much: new text pushes old text out of its memory.
   double keptAt(std::uint64_t key, const Server& s) const {
+    const double room = s.entry.memoryTokens > 0 ? s.entry.memoryTokens : kMemoryPrior;
     const auto it = key == 0 ? kept_.end() : kept_.find(key);
     if (it == kept_.end()) return 0;
     for (const Kept& k : it->second) {
-      if (k.server == s.entry.id && k.generation == s.generation) return k.tokens * lasting(k, s);
+      if (k.server != s.entry.id || k.generation != s.generation) continue;
+      const double pushed = (s.readVolume - k.volume) * set_.nodes / room;
+      return k.tokens * std::exp((k.at - now_) / kKeepFor - pushed * pushed);
     }
     return 0;
   }
-  // Ageing by what the server has read since, by our record as if every node sent as much: new text pushes
-  // old text out of its memory.
-  double lasting(const Kept& k, const Server& s) const {
-    const double room = s.entry.memoryTokens > 0 ? s.entry.memoryTokens : kMemoryPrior;
-    return std::exp((k.at - now_) / kKeepFor - std::pow((s.readVolume - k.volume) * set_.nodes / room, 2));
-  }
-
   void keep(std::uint64_t key, const Server& s, double tokens) {
     if (key == 0 || tokens <= 0) return;
     std::vector<Kept>& list = kept_[key];
@@ -570,73 +530,53 @@
     Server* server = nullptr;
     double cost = 1e18, time = 0;
     bool whole = false;
+
+    bool offer(const Request& r, Server& s, double price) {
+      if (price > cost || (price == cost && tie(r, s) >= tie(r, *server))) return false;
+      server = &s;
+      cost = price;
+      return true;
+    }
   };
 
   // The reader with the least time to first token: its queue, this prompt less what it keeps, and the
-  // cheapest writer after it. Mixed servers take a request whole where that is sooner.
+  // cheapest writer after it. Mixed servers take a request whole where that is sooner; writers that can read
+  // do so only when nothing else is left.
   Plan planRead(const Request& r, bool strict) {
     Plan best;
     for (auto& [id, s] : servers_) {
-      const bool mixed = s.entry.role == Role::kMixed;
-      if (!s.reads() && !mixed) continue;
-      if (!mayTake(s, r, strict) || (mixed && !mayRunOn(r, s))) continue;
+      const bool whole = !s.reads();
+      if (whole && (!readsWhole(s) || !mayRunOn(r, s))) continue;
+      if (!mayTake(s, r, strict)) continue;
       const double fresh = r.ask.promptTokens - credit(s, r);
       const double time = readTime(s, fresh);
       double cost = time + kMissWeight * readRate(s) * fresh + kScoreTime * s.score + ill(s) +
                     (s.entry.zone == set_.zone ? 0 : kFarBias);
-      cost += mixed ? s.wait.get(now_, waitPrior_) + (yields(s) ? kYieldShare * shortestAim_ : 0)
-                    : cheapestWrite(s, r);
-      if (cost < best.cost || (cost == best.cost && tie(r, s) < tie(r, *best.server)))
-        best = {&s, cost, time, mixed};
+      cost += whole ? writerWait(s) : std::min(shortestAim_, planWrite(r, s, true).cost);
+      if (s.entry.role == Role::kDecode) cost += kLastResort;
+      if (best.offer(r, s, cost)) best.time = time, best.whole = whole;
     }
     return best;
   }
+  bool readsWhole(const Server& s) const {
+    return s.entry.role == Role::kMixed || (s.entry.role == Role::kDecode && set_.decodeMayPrefill);
+  }
 
-  // Writers that read by themselves are used whole only when no reader or mixed server is left.
-  Plan planWhole(const Request& r) {
+  // The writer with least transfer time and wait. Mixed servers fetch states only when no pure writer can.
+  Plan planWrite(const Request& r, const Server& reader, bool strict) {
     Plan best;
-    if (!set_.decodeMayPrefill) return best;
     for (auto& [id, s] : servers_) {
-      if (s.entry.role != Role::kDecode || !mayTake(s, r, true) || !mayRunOn(r, s)) continue;
-      const double cost = writeCost(s, s, 0);
-      if (cost < best.cost)
-        best = {&s, cost, readPrior_ * 2 * (r.ask.promptTokens + kReadFloorTokens) + cost, true};
-    }
-    return best;
-  }
-
-  double cheapestWrite(const Server& reader, const Request& r) const {
-    double best = shortestAim_;
-    for (const auto& [id, s] : servers_) {
-      if (s.entry.role == Role::kDecode && s.serving() && healthy(s)) {
-        best = std::min(best, writeCost(reader, s, r.ask.promptTokens));
-      }
-    }
-    return best;
-  }
-
-  Server* pickWriter(const Request& r, const Server& reader, bool strict) {
-    Server* best = nullptr;
-    double least = 1e18;
-    for (const bool mixed : {false, true}) {  // mixed servers fetch states only when no pure writer can
-      for (auto& [id, s] : servers_) {
-        if (s.entry.role != (mixed ? Role::kMixed : Role::kDecode)) continue;
-        if (!mayTake(s, r, strict) || !mayRunOn(r, s)) continue;
-        const double cost = writeCost(reader, s, r.ask.promptTokens);
-        if (cost < least || (cost == least && tie(r, s) < tie(r, *best))) best = &s, least = cost;
-      }
-      if (best != nullptr) break;
+      if (s.reads() || s.entry.role == Role::kUnknown || !mayTake(s, r, strict) || !mayRunOn(r, s)) continue;
+      const double last = s.entry.role == Role::kMixed ? kLastResort : 0;
+      best.offer(r, s, transferTime(reader, s, r.ask.promptTokens) + writerWait(s) + last);
     }
     return best;
   }
 
   // Order among equals: the same shared prefix leads every node to the same server.
   static std::uint64_t tie(const Request& r, const Server& s) {
-    std::uint64_t x =
-        (r.ask.prefix != 0 ? r.ask.prefix : r.ask.session) ^ (s.entry.id.value * 0x9e3779b97f4a7c15ULL);
-    x = (x ^ (x >> 30)) * 0xbf58476d1ce4e5b9ULL;
-    x = (x ^ (x >> 27)) * 0x94d049bb133111ebULL;
-    return x ^ (x >> 31);
+    const std::uint64_t key = r.ask.prefix != 0 ? r.ask.prefix : r.ask.session;
+    return ((key ^ s.entry.id.value) * 0x9e3779b97f4a7c15ULL) >> 20;
   }
 
   // ---- A request's life ----
@@ -644,16 +584,12 @@
   bool dispatch(Request& r) {
     if (now_ + kSweep >= r.deadline || r.sends >= set_.maxAttempts) return finish(r), true;
     Plan plan = planRead(r, true);
-    if (plan.server == nullptr) plan = planWhole(r);
     if (plan.server == nullptr) plan = planRead(r, false);
     const bool enough = plan.whole || r.sends + 2 <= set_.maxAttempts;
     if (plan.server != nullptr && !enough) return finish(r), true;
     const bool inTime = plan.server != nullptr && now_ + plan.time < r.deadline;
     const bool deep = plan.server != nullptr && readTime(*plan.server, 0) > kQueueShare * shortestAim_;
-    if (inTime && !deep && roomAhead(r)) {
-      sendRead(r, plan);
-      return true;
-    }
+    if (inTime && !deep && roomAhead(r)) return sendRead(r, plan), true;
     // Long queues at readers push out the text they keep and so slow them further. Waiting here costs no
     // server anything, but what cannot come in time is refused early.
     const double patience = r.arrived + 0.5 * (r.aimAt - r.arrived);
@@ -664,13 +600,10 @@
   // share gives way earlier.
   bool roomAhead(const Request& r) const {
     const double most = kWriterShare * shortestAim_ * (r.overShare ? kOverShareRoom : 1);
-    bool any = false;
     for (const auto& [id, s] : servers_) {
-      if (s.reads() || s.entry.role == Role::kUnknown || !s.serving() || now_ < s.ejectedUntil) continue;
-      any = true;
-      if (writerWait(s) <= most) return true;
+      if (!s.reads() && s.entry.role != Role::kUnknown && s.serving() && writerWait(s) <= most) return true;
     }
-    return !any;
+    return false;
   }
 
   void sendRead(Request& r, const Plan& plan) {
@@ -688,16 +621,16 @@
   }
 
   void pickWriterOrHold(Request& r) {
-    const auto reader = servers_.find(r.reader);
-    if (r.sends >= set_.maxAttempts || reader == servers_.end()) return finish(r);
-    Server* s = pickWriter(r, reader->second, true);
-    if (s == nullptr) s = pickWriter(r, reader->second, false);
+    Server* const reader = find(r.reader);
+    if (r.sends >= set_.maxAttempts || reader == nullptr) return finish(r);
+    Server* s = planWrite(r, *reader, true).server;
+    if (s == nullptr) s = planWrite(r, *reader, false).server;
     if (s != nullptr) {
-      r.transfer = transferTime(reader->second, *s, r.ask.promptTokens);
+      r.transfer = transferTime(*reader, *s, r.ask.promptTokens);
       r.stage = Stage::kWriting;
       r.whole = false;
       s->waiting += 1;
-      reader->second.sending += 1;
+      reader->sending += 1;
       return send(r, *s, r.transfer + s->wait.get(now_, waitPrior_));
     }
     // Nothing may stay pinned: a state that no writer can take is let go well before the limit.
@@ -710,6 +643,7 @@
     r.out = true;
     r.sentAt = now_;
     r.expected = expected;
+    r.calledOff = false;
     ++r.sends;
     if (runsEffect(r)) {
       s.heldTokens += r.need;
@@ -728,38 +662,30 @@
 
   // Takes the attempt out of our own record.
   void closeAttempt(Request& r) {
-    const auto it = servers_.find(r.server);
-    if (it != servers_.end()) {
-      Server& s = it->second;
-      if (r.stage == Stage::kStreaming) s.streaming -= 1;
-      if (r.stage == Stage::kReading) s.reading -= 1;
-      if (r.stage == Stage::kWriting) s.waiting -= 1;
-      if (runsEffect(r) || r.stage == Stage::kStreaming) s.heldTokens -= r.need;
-      s.queuedTokens -= r.readTokens;
-    }
-    if (r.stage == Stage::kWriting) releaseReader(r);
+    Server& s = servers_[r.server];
+    if (r.stage == Stage::kStreaming) s.streaming -= 1;
+    if (r.stage == Stage::kReading) s.reading -= 1;
+    if (r.stage == Stage::kWriting) s.waiting -= 1;
+    if (runsEffect(r) || r.stage == Stage::kStreaming) s.heldTokens -= r.need;
+    s.queuedTokens -= r.readTokens;
+    releaseReader(r);
     r.readTokens = 0;
     r.out = false;
   }
 
   void releaseReader(const Request& r) {
-    const auto reader = servers_.find(r.reader);
-    if (r.stage == Stage::kWriting && reader != servers_.end()) reader->second.sending -= 1;
+    if (r.stage == Stage::kWriting) servers_[r.reader].sending -= 1;
   }
-
-  void onFailure(Request& r, const AttemptEnded& e, bool wasStreaming) {
-    if (wasStreaming) return finish(r);
-    const bool wrote = runsEffect(r);
-    const bool provedNotRun = e.outcome == Outcome::kRejected || e.outcome == Outcome::kStateLost ||
-                              e.outcome == Outcome::kConnectFailed || e.outcome == Outcome::kNotSent;
-    if (wrote && !provedNotRun && !r.mayHaveRun) {
-      const auto it = servers_.find(e.server);
+  void onFailure(Request& r, const AttemptEnded& e) {
+    if (r.stage == Stage::kStreaming) return finish(r);
+    if (runsEffect(r) && !neverRan(e.outcome) && !r.mayHaveRun) {
+      const ServerEntry& entry = servers_[e.server].entry;
       r.mayHaveRun = true;
       r.firstRunAt = r.sentAt;
-      if (it != servers_.end()) r.runZone = it->second.entry.zone, r.runCell = it->second.entry.cell;
+      r.runZone = entry.zone;
+      r.runCell = entry.cell;
     }
     if (e.outcome == Outcome::kTimeout || r.calledOff) ++r.timeouts;
-    r.calledOff = false;
     r.failedOn.push_back(e.server);
     const bool spent = classOf(r).effect == Effect::kUnsafe && r.mayHaveRun;
     if (spent || e.outcome == Outcome::kNotSent) return finish(r);
@@ -772,92 +698,67 @@
     if (holds) act(Release{r.ask.id});
     r.stage = Stage::kQueued;
     r.whole = false;
-    queue_.push_back(r.ask.id);
-    drainQueue();
+    enqueue(r);
   }
 
   // The one place where the module ends a request.
   void finish(Request& r) {
     if (r.answered) return;
-    r.answered = true;
     if (mayRefuse(r)) {
       act(Refuse{r.ask.id, set_.retryAfterHeeded ? set_.maxRetryAfter : Duration(0)});
     } else {
       act(Fail{r.ask.id});
     }
     letGo(r);
-    if (!r.out) ended_.push_back(r.ask.id);
   }
-
+  // Nothing more is sent for it; what is out is called off and what is held is let go.
   void letGo(Request& r) {
+    r.answered = true;
+    if (!r.out) ended_.push_back(r.ask.id);
     if (r.out && set_.cancelAllowed) act(Cancel{r.ask.id, r.sends - 1});
     if (r.sends > 0) act(Release{r.ask.id});
   }
 
   // ---- Learning ----
   void learnReport(ServerId id, const LoadReport& load) {
-    const auto it = servers_.find(id);
-    if (it == servers_.end()) return;
-    Server& s = it->second;
-    s.report = load;
-    s.reportAt = now_;
-    const double mean = meanPrompt_.get(now_, 1000) / 2;
-    double foreign = 0;
-    if (load.waitingTokens) {
-      foreign = *load.waitingTokens - s.queuedTokens;
-    } else if (load.queued) {
-      foreign = (*load.queued - s.reading) * mean;
-    } else if (load.inHand) {
-      foreign = (*load.inHand - s.out() - s.sending) * mean;
+    Server* s = find(id);
+    if (s == nullptr) return;
+    s->report = load;
+    s->reportAt = now_;
+  }
+
+  void learnOutcome(const Request& r, const AttemptEnded& e) {
+    Server* const s = find(e.server);
+    if (s == nullptr) return;
+    const bool read = e.outcome == Outcome::kPrefilled;
+    if (read) {
+      usual_[0].add(sec(e.elapsed), now_);
+      s->readCost.add(sec(e.elapsed) / r.planTokens, now_);
+      s->readVolume += r.ask.promptTokens - e.keptTokens;
+      if (r.credit > 0) s->trust.add(std::min(1.0, e.keptTokens / r.credit), now_);
+      keep(r.ask.session, *s, r.ask.promptTokens);
+      keep(r.ask.prefix, *s, r.ask.prefixTokens);
     }
-    s.foreignTokens = std::max(0.0, foreign);
+    if (read || e.outcome == Outcome::kOk) return recovered(*s);
+    if (e.outcome == Outcome::kRejected) s->fullUntil = now_ + kFullPause;
+    if (r.calledOff) return blame(*s, Outcome::kTimeout);
+    if (!neverRan(e.outcome) && e.outcome != Outcome::kCancelled) blame(*s, e.outcome);
+    if (e.outcome == Outcome::kConnectFailed) blame(*s, e.outcome);
   }
 
-  void learnOutcome(Request& r, const AttemptEnded& e) {
-    const auto it = servers_.find(e.server);
-    if (it == servers_.end()) return;
-    Server& s = it->second;
-    switch (e.outcome) {
-      case Outcome::kPrefilled:
-        usual_[0].add(sec(e.elapsed), now_);
-        s.readWait.add(std::max(0.0, sec(e.elapsed) - readRate(s) * r.planTokens), now_);
-        s.readCost.add(sec(e.elapsed) / r.planTokens, now_);
-        s.readVolume += r.ask.promptTokens - e.keptTokens;
-        if (r.credit > 0) s.trust.add(std::min(1.0, e.keptTokens / r.credit), now_);
-        keep(r.ask.session, s, r.ask.promptTokens);
-        keep(r.ask.prefix, s, r.ask.prefixTokens);
-        recovered(s);
-        break;
-      case Outcome::kOk:
-        if (r.streamAt > 0) s.pace.add((now_ - r.streamAt) / std::max(1.0, expectedOutput(r)), now_);
-        recovered(s);
-        break;
-      case Outcome::kRejected:
-        s.fullUntil = now_ + kFullPause;
-        break;
-      case Outcome::kCancelled:
-        if (r.calledOff) blame(s, Outcome::kTimeout);
-        break;
-      case Outcome::kStateLost:
-      case Outcome::kNotSent:
-        break;
-      default:
-        blame(s, e.outcome);
-    }
+  static bool neverRan(Outcome outcome) {
+    return outcome == Outcome::kRejected || outcome == Outcome::kStateLost ||
+           outcome == Outcome::kConnectFailed || outcome == Outcome::kNotSent;
   }
 
   void learnFirstToken(const Request& r, Server& s) {
     const double took = now_ - r.sentAt;
-    const auto reader = servers_.find(r.reader);
-    if (r.stage == Stage::kReading || reader == servers_.end()) return;
-    const int kind = linkKind(reader->second, s);
-    const double wait = s.wait.get(now_, waitPrior_);
-    if (kind == 0) {
-      s.wait.add(std::max(0.002, took - r.transfer), now_);
-    } else {
-      links_[{reader->second.entry.cell, kind}].add(std::max(1e-6, (took - wait) / (r.ask.promptTokens + 1)),
-                                                    now_);
-    }
+    const Server* reader = find(r.reader);
+    if (r.stage == Stage::kReading || reader == nullptr) return;
+    const int kind = linkKind(*reader, s);
+    if (kind == 0) return s.wait.add(std::max(0.002, took - r.transfer), now_);
+    const double moved = std::max(0.0, took - s.wait.get(now_, waitPrior_)) / (r.ask.promptTokens + 1);
+    links_[{reader->entry.cell, kind}].add(moved, now_);
   }
 
   // ---- Health ----
@@ -876,13 +777,12 @@
   }
 
   bool tooManyOut(Role role) const {
-    int all = 0, ejected = 0;
+    int ejected = 1, all = 0;
     for (const auto& [id, s] : servers_) {
-      if (s.entry.role != role || !s.serving()) continue;
-      ++all;
-      ejected += now_ < s.ejectedUntil;
+      all += s.entry.role == role && s.serving();
+      ejected += s.entry.role == role && s.serving() && now_ < s.ejectedUntil;
     }
-    return 2 * (ejected + 1) > all;
+    return 2 * ejected > all;
   }
 
   void recovered(Server& s) {
@@ -899,15 +799,18 @@
     if (!ask.tenant || *ask.tenant >= buckets_.size() || set_.tenants[*ask.tenant].quotaPerSecond <= 0)
       return true;
     const double rate = set_.tenants[*ask.tenant].quotaPerSecond / set_.nodes;
-    Bucket& b = buckets_[*ask.tenant];
-    b.tokens = std::min(2 * rate + 1, b.tokens + rate * (now_ - b.at));
-    b.at = now_;
-    if (b.tokens < 1) return false;
-    b.tokens -= 1;
+    auto& [left, at] = buckets_[*ask.tenant];
+    left = std::min(2 * rate + 1, left + rate * (now_ - at));
+    at = now_;
+    if (left < 1) return false;
+    left -= 1;
     return true;
   }
-
   // ---- Small things ----
+  Server* find(ServerId id) {
+    const auto it = servers_.find(id);
+    return it == servers_.end() ? nullptr : &it->second;
+  }
   const ClassSettings& classOf(const Request& r) const { return set_.classes.at(r.ask.classIndex); }
   void act(Action action) { out_->push_back(std::move(action)); }
   double draw() {
@@ -919,23 +822,23 @@
 
   Settings set_;
   std::uint64_t random_;
-  double now_ = 0, scoredAt_ = 0, askAt_ = 0;
+  double now_ = 0, scoredAt_ = 0, askAt_ = 0, lastArrival_ = 0;
   double shortestAim_ = 1e9;
   bool started_ = false;
   std::vector<Action>* out_ = nullptr;
   std::map<ServerId, Server> servers_;
   std::map<RequestId, Request> requests_;
-  std::vector<RequestId> queue_;  // requests that wait here, oldest first
+  std::set<std::pair<double, RequestId>> queue_;  // requests that wait here, tightest aim first
   std::vector<RequestId> ended_;
   std::unordered_map<std::uint64_t, std::vector<Kept>> kept_;  // never walked in its own order
   std::map<std::pair<std::uint32_t, int>, Learned>
       links_;                                            // a token's move, by the reader's cell and link kind
   std::map<Role, std::pair<double, double>> roleSends_;  // fading sum of our sends, and when
-  std::pair<double, double> arrivals_{0, 0};
-  std::vector<Bucket> buckets_;
+  Learned gap_;                                          // between requests
+  std::vector<std::pair<double, double>> buckets_;       // for each tenant: requests in hand, and when
   Learned meanPrompt_;
   Learned usual_[2];  // time that reads, and writers' first tokens, took lately
-  double readPrior_ = kReadPrior, waitPrior_ = kWaitPrior, pacePrior_ = 1;
+  double readPrior_ = kReadPrior, waitPrior_ = kWaitPrior;
 };
 
 Policy::Policy(Settings settings) : impl_(std::make_unique<Impl>(std::move(settings))) {}
