--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -1,6 +1,5 @@
 // gannetcourse's decision module: every decision, table and tuned value. Its interface, with the meaning of
 // each setting, event and action, is include/gannetcourse/policy.h; docs/design.md tells why it is so.
-//
 // The ordinary path is FlowKV's load-aware scheduler: a load score for each server, a reader by least time to
 // first token, and after the read a writer by least transfer time and wait. The rest guards that path.
 
@@ -52,20 +51,18 @@
 constexpr double kFailureStep = 0.34;  // what one outcome moves it
 constexpr double kEjectFirst = 1;      // ejection time, doubled at each further one ...
 constexpr double kEjectMost = 8;       // ... up to this
-constexpr double kStrikesForgotten = 15;  // healthy time that clears the doubling
-constexpr double kFullPause = 0.15;       // a server that refused for a full queue is passed over for this
-constexpr double kColdSafety = 0.6;       // share of the cold budget that is used
-constexpr double kProbeOften = 0.4;       // a server is probed no more often than this
-constexpr double kProbeBudget = 0.004;    // result that probing may cost
-constexpr double kAskAgain = 0.7;         // pause after a failed discovery call
+constexpr double kFullPause = 0.15;    // a server that refused for a full queue is passed over for this
+constexpr double kColdSafety = 0.6;    // share of the cold budget that is used
+constexpr double kProbeOften = 0.4;    // a server is probed no more often than this
+constexpr double kProbeBudget = 0.004;  // result that probing may cost
+constexpr double kAskAgain = 0.7;       // pause after a failed discovery call
 
 double sec(Duration d) { return d.count(); }
 
 // A figure learned from samples: recent ones count most, and without new ones it fades towards `prior`.
 class Learned {
  public:
-  Learned() = default;
-  Learned(double forget, double rise) : forget_(forget), rise_(rise) {}
+  explicit Learned(double forget = kForget, double rise = 1) : forget_(forget), rise_(rise) {}
   void add(double sample, double now) {
     weight_ = std::min(weightAt(now) + 1, kMemory);
     value_ += (sample - value_) / weight_ * (sample > value_ && weight_ > 1 ? rise_ : 1);
@@ -79,17 +76,16 @@
 
  private:
   double weightAt(double now) const { return weight_ * std::exp((at_ - now) / forget_); }
-  double forget_ = kForget, rise_ = 1;  // a rise below 1 learns a low quantile
+  double forget_, rise_;  // a rise below 1 learns a low quantile
   double value_ = 0, weight_ = 0, at_ = 0;
 };
 
 // What is known of a server's process; a restart wipes it.
 struct Process {
   LoadReport report;
-  double reportAt = -1e9;
-  double score = 0.5;
+  double reportAt = -1e9, score = 0.5;
   Learned readCost{kForget, kRise}, wait{kScoreWindow, 1};
-  Learned trust;                          // share of the credited prompt tokens found kept
+  Learned trust{kForget};                 // share of the credited prompt tokens found kept
   double readVolume = 0;                  // prompt tokens that it has read anew for us
   double recentTokens = 0, recentAt = 0;  // sent to it lately, fading: not in its reports yet
   double overdue = 0;                     // how far its oldest unanswered attempt is past what was expected
@@ -108,9 +104,10 @@
   std::deque<std::pair<double, double>> coldSends;  // time and weight of the sends within the cold window
 
   bool serving() const { return entry.state == ServerEntry::State::kServing; }
+  double room() const { return entry.memoryTokens > 0 ? entry.memoryTokens : kMemoryPrior; }
+  bool idle() const { return reading + waiting + streaming + sending == 0; }
   bool reads() const { return entry.role == Role::kPrefill; }
   int unanswered() const { return reading + waiting; }
-  int out() const { return reading + waiting + streaming; }
 };
 
 enum class Stage { kQueued, kReading, kHolding, kWriting, kStreaming };
@@ -121,15 +118,13 @@
   bool overShare = false, answered = false;
   Stage stage = Stage::kQueued;
   int sends = 0, timeouts = 0, writerFailures = 0;
-  bool out = false, whole = false;  // an attempt is out; it reads and writes in one place
-  ServerId server;                  // of the attempt that is out or was last
-  double sentAt = 0, expected = 0, readTokens = 0, planTokens = 1, credit = 0, need = 0, transfer = 0;
-  ServerId reader;  // where the state waits
-  double heldSince = 0;
-  bool mayHaveRun = false;  // some attempt may have had its effect ...
-  double firstRunAt = 0;    // ... the first was sent then, to this zone and cell
-  std::uint32_t runZone = 0, runCell = 0;
-  bool calledOff = false;  // the attempt that is out was cancelled for silence
+  bool out = false, whole = false, calledOff = false;  // an attempt is out, reads and writes, was cancelled
+  ServerId server, reader;                             // of the last attempt; where the state waits
+  double sentAt = 0, expected = 0, heldSince = 0, credit = 0, transfer = 0;
+  double readTokens = 0, planTokens = 1, need = 0;  // to read; in the estimate; of a writer's memory
+  bool mayHaveRun = false;  // some attempt may have had its effect; the first was sent then and there
+  double firstRunAt = 0;
+  ServerEntry ranOn;
   std::vector<ServerId> failedOn;
 };
 
@@ -159,8 +154,7 @@
  private:
   // ---- Events ----
   void on(const ServerList& list) {
-    const bool first = !started_;
-    started_ = true;
+    const bool first = !std::exchange(started_, true);
     if (list.scope == ServerList::Scope::kFailed) {
       askAt_ = now_ + kAskAgain * (0.5 + draw());
     } else {
@@ -169,9 +163,8 @@
       }
       for (const ServerEntry& entry : list.entries) learnEntry(entry);
     }
-    if (!first) return;
-    if (set_.askDiscovery) act(SubscribeServers{});
-    sweep();
+    if (first && set_.askDiscovery) act(SubscribeServers{});
+    if (first) sweep();
   }
 
   void learnEntry(const ServerEntry& entry) {
@@ -203,7 +196,7 @@
   }
 
   void on(const AttemptEnded& e) {
-    if (e.load) learnReport(e.server, *e.load);
+    learnReport(e.server, e.load);
     const auto it = requests_.find(e.id);
     if (it == requests_.end() || !it->second.out) return;
     Request& r = it->second;
@@ -241,7 +234,7 @@
   }
 
   void on(const ProbeEnded& e) {
-    if (e.load) learnReport(e.server, *e.load);
+    learnReport(e.server, e.load);
     Server* s = find(e.server);
     // A probe that waits too long may only stand in a queue; one that cannot connect is a sign of illness.
     if (s != nullptr && e.outcome == Outcome::kConnectFailed) blame(*s, e.outcome);
@@ -267,9 +260,8 @@
       askAt_ = 0;
       act(SubscribeServers{});
     }
-    std::erase_if(servers_, [](const auto& entry) {
-      return entry.second.entry.state == ServerEntry::State::kGone &&
-             entry.second.out() + entry.second.sending == 0;
+    std::erase_if(servers_, [](const auto& e) {
+      return e.second.entry.state == ServerEntry::State::kGone && e.second.idle();
     });
     if (kept_.size() > kMostKept) {
       std::erase_if(kept_, [this](const auto& e) { return e.second.back().at < now_ - kKeepFor / 2; });
@@ -299,12 +291,10 @@
     }
   }
 
-  // How long an attempt may take before its server counts as silent.
+  // How long an attempt may take before its server counts as silent; in a jam all of them take long.
   double patience(const Request& r) const {
-    const double typical = usual_[r.stage == Stage::kWriting].get(now_, 0);  // in a jam all of them take long
-    const double usual =
-        std::max(kTimeoutFactor * std::max(r.expected, typical), kSilentShare * (r.aimAt - r.arrived));
-    return usual * (1 + r.timeouts);
+    const double usual = std::max(r.expected, usual_[r.stage == Stage::kWriting].get(now_, 0));
+    return std::max(kTimeoutFactor * usual, kSilentShare * (r.aimAt - r.arrived)) * (1 + r.timeouts);
   }
 
   // Whether a further attempt could still be made, should this one end without an answer.
@@ -355,11 +345,12 @@
     const double step = 1 - std::exp(-(now_ - scoredAt_) / kScoreWindow);
     scoredAt_ = now_;
     std::map<Role, std::array<std::pair<double, double>, 5>>
-        totals;  // of each role's indicators, and how many
+        totals;  // sums over a role's servers, and counts
     for (const auto& [id, s] : servers_) {
       for (std::size_t i = 0; i < 5 && s.serving(); ++i) {
-        if (const auto value = indicators(s)[i])
-          totals[s.entry.role][i].first += *value, totals[s.entry.role][i].second += 1;
+        const auto value = indicators(s)[i];
+        totals[s.entry.role][i].first += value.value_or(0);
+        totals[s.entry.role][i].second += value.has_value();
       }
     }
     for (auto& [id, s] : servers_) {
@@ -420,11 +411,10 @@
   // if every node sent as much as we do.
   double filled(const Server& s) const {
     const LoadReport told = fresh(s) ? s.report : LoadReport{};
-    const double room = s.entry.memoryTokens > 0 ? s.entry.memoryTokens : 1e18;
     const double recent = s.recentTokens * std::exp((s.recentAt - now_) / kRecent) * set_.nodes / 2;
-    const double memory =
-        told.memoryShare ? *told.memoryShare + recent / room : s.heldTokens * set_.nodes / room;
-    return std::max({memory, s.heldTokens / room, told.busyShare.value_or(0)});
+    const double since = (told.memoryShare ? recent : s.heldTokens * set_.nodes) / s.room();
+    return std::max(
+        {told.memoryShare.value_or(0) + since, s.heldTokens / s.room(), told.busyShare.value_or(0)});
   }
 
   bool yields(const Server& s) const {
@@ -451,12 +441,11 @@
   // Tokens of a text that a server still keeps. They age by what it has read since, by our record as if every
   // node sent as much: new text pushes old text out of its memory.
   double keptAt(std::uint64_t key, const Server& s) const {
-    const double room = s.entry.memoryTokens > 0 ? s.entry.memoryTokens : kMemoryPrior;
     const auto it = key == 0 ? kept_.end() : kept_.find(key);
     if (it == kept_.end()) return 0;
     for (const Kept& k : it->second) {
       if (k.server != s.entry.id || k.generation != s.generation) continue;
-      const double pushed = (s.readVolume - k.volume) * set_.nodes / room;
+      const double pushed = (s.readVolume - k.volume) * set_.nodes / s.room();
       return k.tokens * std::exp((k.at - now_) / kKeepFor - pushed * pushed);
     }
     return 0;
@@ -470,13 +459,11 @@
 
   // ---- Who may be sent what ----
   // A server that failed lately is out until its ejection ends, then has one request at a time on trial.
-  bool healthy(const Server& s) const { return now_ >= s.ejectedUntil && !(s.trial && s.unanswered() > 0); }
-
   bool mayTake(const Server& s, const Request& r, bool strict) const {
     if (!s.serving() || !withinColdBudget(s, r)) return false;
     if (!strict) return true;
-    return healthy(s) && now_ >= s.fullUntil &&
-           std::find(r.failedOn.begin(), r.failedOn.end(), s.entry.id) == r.failedOn.end();
+    if (now_ < s.ejectedUntil || (s.trial && s.unanswered() > 0) || now_ < s.fullUntil) return false;
+    return std::find(r.failedOn.begin(), r.failedOn.end(), s.entry.id) == r.failedOn.end();
   }
 
   // A cold server gets no more than this node's part of what it can do. Servers that come back from lost
@@ -496,11 +483,9 @@
   // What a warm server of the role takes from us, in weights a second.
   double warmRate(Role role) const {
     double servers = 0;
-    for (const auto& [id, s] : servers_) {
+    for (const auto& [id, s] : servers_)
       servers += s.entry.role == role && s.serving() && now_ - s.coldSince >= sec(set_.coldWarmAfter);
-    }
-    const auto it = roleSends_.find(role);
-    return it == roleSends_.end() || servers == 0 ? 0 : it->second.first / kForget / servers;
+    return servers == 0 ? 0 : roleSends_[static_cast<std::size_t>(role)].first / kForget / servers;
   }
 
   double sendWeight(const Request& r) const {
@@ -513,8 +498,8 @@
     const ClassSettings& c = classOf(r);
     if (!r.mayHaveRun || c.effect == Effect::kSafe) return true;
     if (c.effect == Effect::kUnsafe || now_ > r.firstRunAt + sec(c.dedupWindow)) return false;
-    if (c.group == DedupGroup::kZone) return s.entry.zone == r.runZone;
-    return c.group == DedupGroup::kAll || s.entry.cell == r.runCell;
+    if (c.group == DedupGroup::kZone) return s.entry.zone == r.ranOn.zone;
+    return c.group == DedupGroup::kAll || s.entry.cell == r.ranOn.cell;
   }
 
   bool mayRefuse(const Request& r) const {
@@ -582,19 +567,18 @@
   // ---- A request's life ----
   // Tries to send a queued request. True when it is out or over; false when it should wait here.
   bool dispatch(Request& r) {
-    if (now_ + kSweep >= r.deadline || r.sends >= set_.maxAttempts) return finish(r), true;
     Plan plan = planRead(r, true);
     if (plan.server == nullptr) plan = planRead(r, false);
-    const bool enough = plan.whole || r.sends + 2 <= set_.maxAttempts;
-    if (plan.server != nullptr && !enough) return finish(r), true;
-    const bool inTime = plan.server != nullptr && now_ + plan.time < r.deadline;
-    const bool deep = plan.server != nullptr && readTime(*plan.server, 0) > kQueueShare * shortestAim_;
-    if (inTime && !deep && roomAhead(r)) return sendRead(r, plan), true;
+    if (plan.server != nullptr) {
+      const int needed = plan.whole ? 1 : 2;
+      if (now_ + plan.time >= r.deadline || r.sends + needed > set_.maxAttempts) return finish(r), true;
+      const bool shallow = readTime(*plan.server, 0) <= kQueueShare * shortestAim_;
+      if (shallow && roomAhead(r)) return sendRead(r, plan), true;
+    }
     // Long queues at readers push out the text they keep and so slow them further. Waiting here costs no
     // server anything, but what cannot come in time is refused early.
-    const double patience = r.arrived + 0.5 * (r.aimAt - r.arrived);
-    if (now_ > patience || (plan.server != nullptr && !inTime)) return finish(r), true;
-    return false;
+    if (now_ <= (r.arrived + r.aimAt) / 2) return false;
+    return finish(r), true;
   }
   // Load shedding: a prompt is read only when some writer can take it soon. Traffic beyond its tenant's
   // share gives way earlier.
@@ -611,7 +595,6 @@
     r.credit = credit(s, r);
     r.readTokens = r.ask.promptTokens - r.credit + kReadFloorTokens;
     r.whole = plan.whole;
-    r.transfer = 0;
     s.queuedTokens += r.readTokens;
     s.reading += 1;
     keep(r.ask.prefix, s, r.ask.prefixTokens);  // who comes next on this server finds it read
@@ -638,7 +621,6 @@
   }
 
   void send(Request& r, Server& s, double expected) {
-    const double left = r.deadline - now_;
     r.server = s.entry.id;
     r.out = true;
     r.sentAt = now_;
@@ -650,13 +632,13 @@
       s.recentTokens = s.recentTokens * std::exp((s.recentAt - now_) / kRecent) + r.need;
       s.recentAt = now_;
     }
-    auto& [sum, at] = roleSends_[s.entry.role];
+    auto& [sum, at] = roleSends_[static_cast<std::size_t>(s.entry.role)];
     sum = sum * std::exp((at - now_) / kForget) + sendWeight(r);
     at = now_;
     s.coldSends.emplace_back(now_, sendWeight(r));
     while (s.coldSends.front().first < now_ - sec(set_.coldWindow)) s.coldSends.pop_front();
     // Where attempts can be called off, silence ends them; the time-out only leaves room for another try.
-    const double most = mayTryOn(r) ? kTryShare * left : left;
+    const double most = (r.deadline - now_) * (mayTryOn(r) ? kTryShare : 1);
     act(Send{r.ask.id, s.entry.id, Duration(set_.cancelAllowed ? most : std::min(most, patience(r)))});
   }
 
@@ -679,11 +661,9 @@
   void onFailure(Request& r, const AttemptEnded& e) {
     if (r.stage == Stage::kStreaming) return finish(r);
     if (runsEffect(r) && !neverRan(e.outcome) && !r.mayHaveRun) {
-      const ServerEntry& entry = servers_[e.server].entry;
       r.mayHaveRun = true;
       r.firstRunAt = r.sentAt;
-      r.runZone = entry.zone;
-      r.runCell = entry.cell;
+      r.ranOn = servers_[e.server].entry;
     }
     if (e.outcome == Outcome::kTimeout || r.calledOff) ++r.timeouts;
     r.failedOn.push_back(e.server);
@@ -720,10 +700,10 @@
   }
 
   // ---- Learning ----
-  void learnReport(ServerId id, const LoadReport& load) {
+  void learnReport(ServerId id, const std::optional<LoadReport>& load) {
     Server* s = find(id);
-    if (s == nullptr) return;
-    s->report = load;
+    if (s == nullptr || !load) return;
+    s->report = *load;
     s->reportAt = now_;
   }
 
@@ -771,7 +751,6 @@
     s.failures += (contact ? 2 : 1) * kFailureStep * (1 - std::min(1.0, s.failures));
     if (now_ < s.ejectedUntil || (s.failures < kEjectAt && !s.trial)) return;
     if (outcome == Outcome::kTimeout && tooManyOut(s.entry.role)) return;
-    if (now_ - s.ejectedUntil > kStrikesForgotten) s.strikes = 0;
     s.ejectedUntil = now_ + std::min(kEjectMost, kEjectFirst * std::pow(2, s.strikes++));
     s.trial = true;
   }
@@ -788,6 +767,7 @@
   void recovered(Server& s) {
     s.answeredAt = now_;
     s.failures *= 1 - kFailureStep;
+    if (s.failures < kFailureStep / 4) s.strikes = 0;
     if (now_ < s.ejectedUntil || !s.trial) return;
     s.trial = false;
     if (s.lostContact) s.coldSince = std::max(s.coldSince, now_);  // slow start
@@ -832,10 +812,10 @@
   std::vector<RequestId> ended_;
   std::unordered_map<std::uint64_t, std::vector<Kept>> kept_;  // never walked in its own order
   std::map<std::pair<std::uint32_t, int>, Learned>
-      links_;                                            // a token's move, by the reader's cell and link kind
-  std::map<Role, std::pair<double, double>> roleSends_;  // fading sum of our sends, and when
-  Learned gap_;                                          // between requests
-  std::vector<std::pair<double, double>> buckets_;       // for each tenant: requests in hand, and when
+      links_;  // a token's move, by the reader's cell and link kind
+  std::array<std::pair<double, double>, 4> roleSends_{};  // by role: fading sum of our sends, and when
+  Learned gap_;                                           // between requests
+  std::vector<std::pair<double, double>> buckets_;        // for each tenant: requests in hand, and when
   Learned meanPrompt_;
   Learned usual_[2];  // time that reads, and writers' first tokens, took lately
   double readPrior_ = kReadPrior, waitPrior_ = kWaitPrior;
