--- /dev/null
+++ b/tests/harness.h
@@ -0,0 +1,117 @@
+// A bench-free host for one Policy: feeds events, keeps the actions of the last step and of all steps.
+#pragma once
+
+#include <string>
+#include <vector>
+
+#include "gannetcourse/policy.h"
+
+namespace gannetcourse::test {
+
+inline Settings twoStageSettings() {
+  Settings s;
+  s.seed = 7;
+  s.nodes = 1;
+  ClassSettings c;
+  c.aim = Duration(1);
+  c.tokenAim = Duration(0.05);
+  c.lateWorth = 0.2;
+  s.classes = {c};
+  s.cancelAllowed = true;
+  s.retryAfterHeeded = true;
+  s.maxAttempts = 6;
+  s.maxRetryAfter = Duration(1);
+  s.pinLimit = Duration(0.5);
+  s.tick = Duration(0.004);
+  s.coldWindow = Duration(2);
+  s.coldOverloadFactor = 2.5;
+  s.coldStartCapacity = 0.3;
+  s.coldWarmAfter = Duration(10);
+  return s;
+}
+
+inline ServerEntry server(std::uint32_t id, Role role, std::uint32_t cell = 0, std::uint32_t zone = 0) {
+  ServerEntry e;
+  e.id = {id};
+  e.role = role;
+  e.cell = cell;
+  e.zone = zone;
+  e.memoryTokens = 200000;
+  return e;
+}
+
+class Host {
+ public:
+  explicit Host(const Settings& settings) : policy(settings) {}
+
+  std::vector<Action>& feed(double at, const Event& event) {
+    now = at;
+    last.clear();
+    policy.handle(Instant(Duration(at)), event, last);
+    all.insert(all.end(), last.begin(), last.end());
+    return last;
+  }
+
+  std::vector<Action>& list(double at, std::vector<ServerEntry> entries,
+                            ServerList::Scope scope = ServerList::Scope::kFull) {
+    return feed(at, ServerList{scope, std::move(entries)});
+  }
+
+  std::vector<Action>& request(double at, const std::string& id, double prompt = 1000, double timeLeft = 4) {
+    RequestArrived r;
+    r.id = {id};
+    r.timeLeft = Duration(timeLeft);
+    r.promptTokens = prompt;
+    r.maxOutputTokens = 300;
+    return feed(at, r);
+  }
+
+  std::vector<Action>& ended(double at, const std::string& id, std::uint32_t serverId, Outcome outcome,
+                             bool over = false, double kept = 0) {
+    AttemptEnded e;
+    e.id = {id};
+    e.server = {serverId};
+    e.outcome = outcome;
+    e.requestOver = over;
+    e.keptTokens = kept;
+    e.elapsed = Duration(0.05);
+    return feed(at, e);
+  }
+
+  std::vector<Action>& streams(double at, const std::string& id, std::uint32_t serverId) {
+    return feed(at, StreamStarted{{id}, 0, {serverId}, Duration(0.03)});
+  }
+
+  std::vector<Action>& tick(double at) { return feed(at, TimerFired{"sweep"}); }
+
+  // Fires the housekeeping timer every 20 ms up to `until`; gives all actions of that time.
+  std::vector<Action> run(double until) {
+    std::vector<Action> seen;
+    while (now + 0.02 <= until) {
+      tick(now + 0.02);
+      seen.insert(seen.end(), last.begin(), last.end());
+    }
+    return seen;
+  }
+
+  double now = 0;
+  Policy policy;
+  std::vector<Action> last, all;
+};
+
+template <typename T>
+std::vector<T> only(const std::vector<Action>& actions) {
+  std::vector<T> found;
+  for (const Action& a : actions) {
+    if (const T* one = std::get_if<T>(&a)) found.push_back(*one);
+  }
+  return found;
+}
+
+// The server of the single send among the actions; 0 when there is not exactly one.
+inline std::uint32_t sentTo(const std::vector<Action>& actions) {
+  const auto sends = only<Send>(actions);
+  return sends.size() == 1 ? sends[0].server.value : 0;
+}
+
+}  // namespace gannetcourse::test
--- /dev/null
+++ b/tests/policy_test.cpp
@@ -0,0 +1,248 @@
+// The ordinary path: picks with hand-worked numbers, and each way through a request's life.
+#include <gtest/gtest.h>
+
+#include "harness.h"
+
+namespace gannetcourse::test {
+namespace {
+
+RequestArrived ask(const std::string& id, double prompt, std::uint64_t session, std::uint64_t prefix = 0,
+                   double shared = 0) {
+  RequestArrived r;
+  r.id = {id};
+  r.timeLeft = Duration(4);
+  r.promptTokens = prompt;
+  r.session = session;
+  r.prefix = prefix;
+  r.prefixTokens = shared;
+  r.maxOutputTokens = 300;
+  return r;
+}
+
+// Serves a request to its end on whatever servers the policy picks; gives the reader.
+std::uint32_t serve(Host& host, double at, const RequestArrived& r, double kept = 0) {
+  const std::uint32_t reader = sentTo(host.feed(at, r));
+  const std::uint32_t writer =
+      sentTo(host.ended(at + 0.05, r.id.value, reader, Outcome::kPrefilled, false, kept));
+  EXPECT_NE(writer, 0U);
+  host.streams(at + 0.08, r.id.value, writer);
+  host.ended(at + 0.5, r.id.value, writer, Outcome::kOk, true);
+  return reader;
+}
+
+TEST(Reader, GoesToTheShorterQueue) {
+  Host host(twoStageSettings());
+  host.list(1, {server(1, Role::kPrefill), server(2, Role::kPrefill), server(3, Role::kDecode)});
+  const std::uint32_t first = sentTo(host.request(1.1, "a", 800));
+  const std::uint32_t second = sentTo(host.request(1.1, "b", 800));
+  EXPECT_EQ(first + second, 3U) << "800 tokens queue at one reader, none at the other";
+}
+
+TEST(Reader, SessionReturnsToWhatItsReaderKeeps) {
+  Host host(twoStageSettings());
+  host.list(1, {server(1, Role::kPrefill), server(2, Role::kPrefill), server(3, Role::kDecode)});
+  const std::uint32_t reader = serve(host, 1.1, ask("a", 3000, 42));
+  // 500 tokens queue there and 3,000 of 3,400 are kept: (500 + 300) + 2 * 400 tokens against 2 * 3,400.
+  host.feed(2.0, ask("filler", 200, 0));
+  const std::uint32_t busy = sentTo(host.last);
+  EXPECT_EQ(sentTo(host.feed(2.0, ask("b", 3400, 42))), reader) << "filler went to " << busy;
+}
+
+TEST(Reader, QueueOutweighsCreditInTheEnd) {
+  Settings settings = twoStageSettings();
+  settings.classes[0].aim = Duration(100);  // no holding here: the pick alone is looked at
+  Host host(settings);
+  host.list(1, {server(1, Role::kPrefill), server(2, Role::kPrefill), server(3, Role::kDecode)});
+  const std::uint32_t reader = serve(host, 1.1, ask("a", 1000, 42));
+  bool left = false;
+  for (int i = 0; i < 20 && !left; ++i) {
+    left = sentTo(host.feed(2.0, ask("b" + std::to_string(i), 1200, 42))) != reader;
+  }
+  EXPECT_TRUE(left);
+}
+
+TEST(Reader, RestartedServerKeepsNothing) {
+  Host host(twoStageSettings());
+  host.list(1, {server(1, Role::kPrefill), server(2, Role::kPrefill), server(3, Role::kDecode)});
+  const std::uint32_t reader = serve(host, 1.1, ask("a", 3000, 42));
+  ServerEntry again = server(reader, Role::kPrefill);
+  again.startedAt = Instant(Duration(1.7));
+  host.list(2, {again}, ServerList::Scope::kChanges);
+  serve(host, 2.1, ask("x", 100, 7));  // warm both estimates alike
+  host.feed(15, TimerFired{"sweep"});
+  const std::uint32_t next = sentTo(host.feed(15.1, ask("b", 3100, 42)));
+  const std::uint32_t other = sentTo(host.feed(15.1, ask("c", 3100, 42)));
+  EXPECT_NE(next, other) << "with no credit anywhere the second goes to the empty reader";
+}
+
+TEST(Reader, SharedPrefixBreaksTiesAlikeOnEveryNode) {
+  Settings settings = twoStageSettings();
+  std::uint32_t picks[2];
+  for (int node = 0; node < 2; ++node) {
+    settings.seed = 100 + static_cast<std::uint64_t>(node);
+    Host host(settings);
+    host.list(1, {server(1, Role::kPrefill), server(2, Role::kPrefill), server(3, Role::kDecode)});
+    picks[node] = sentTo(host.feed(1.1, ask("a", 500, 1 + static_cast<std::uint64_t>(node), 99, 400)));
+  }
+  EXPECT_EQ(picks[0], picks[1]);
+}
+
+TEST(Writer, PickedAfterTheReadInTheReadersCell) {
+  Host host(twoStageSettings());
+  host.list(1, {server(1, Role::kPrefill, 0), server(2, Role::kDecode, 1), server(3, Role::kDecode, 0)});
+  EXPECT_EQ(sentTo(host.request(1.1, "a")), 1U);
+  EXPECT_TRUE(only<Reserve>(host.all).empty());
+  // 1,000 tokens: 5 ms inside the cell against 20 ms and the price of leaving it.
+  EXPECT_EQ(sentTo(host.ended(1.2, "a", 1, Outcome::kPrefilled)), 3U);
+}
+
+TEST(Writer, FullOneYieldsToTheNextCell) {
+  Settings settings = twoStageSettings();
+  settings.reporting = Reporting::kProbes;
+  settings.probesAllowed = true;
+  Host host(settings);
+  host.list(1, {server(1, Role::kPrefill, 0), server(2, Role::kDecode, 1), server(3, Role::kDecode, 0)});
+  LoadReport full;
+  full.memoryShare = 0.95;
+  host.feed(1.05, ProbeEnded{{3}, Outcome::kOk, Duration(0.001), full});
+  host.request(1.1, "a");
+  EXPECT_EQ(sentTo(host.ended(1.2, "a", 1, Outcome::kPrefilled)), 2U);
+}
+
+TEST(Mixed, TakesARequestWholeAndReadersServePureWriters) {
+  Host host(twoStageSettings());
+  host.list(1, {server(1, Role::kMixed)});
+  EXPECT_EQ(sentTo(host.request(1.1, "a")), 1U);
+  host.streams(1.2, "a", 1);
+  EXPECT_TRUE(only<Send>(host.ended(2, "a", 1, Outcome::kOk, true)).empty());
+
+  Host pair(twoStageSettings());
+  pair.list(1, {server(1, Role::kPrefill), server(2, Role::kMixed), server(3, Role::kDecode)});
+  pair.request(1.1, "b", 20000);
+  const std::uint32_t first = sentTo(pair.last);
+  ASSERT_NE(first, 0U);
+  if (first == 1) {
+    EXPECT_EQ(sentTo(pair.ended(1.3, "b", 1, Outcome::kPrefilled)), 3U);
+  }
+}
+
+TEST(Writer, ReadsByItselfOnlyWithoutReaders) {
+  Settings settings = twoStageSettings();
+  settings.decodeMayPrefill = true;
+  Host host(settings);
+  host.list(1, {server(1, Role::kPrefill), server(2, Role::kDecode)});
+  EXPECT_EQ(sentTo(host.request(1.1, "a")), 1U);
+  host.list(1.2, {server(1, Role::kPrefill), server(2, Role::kDecode)});
+  ServerEntry gone = server(1, Role::kPrefill);
+  gone.state = ServerEntry::State::kGone;
+  host.list(1.3, {gone}, ServerList::Scope::kChanges);
+  EXPECT_EQ(sentTo(host.request(1.4, "b")), 2U);
+}
+
+TEST(Life, LostStateIsReadAnew) {
+  Host host(twoStageSettings());
+  host.list(1, {server(1, Role::kPrefill), server(2, Role::kDecode)});
+  host.request(1.1, "a");
+  EXPECT_EQ(sentTo(host.ended(1.2, "a", 1, Outcome::kPrefilled)), 2U);
+  EXPECT_EQ(sentTo(host.ended(1.3, "a", 2, Outcome::kStateLost)), 1U);
+}
+
+TEST(Life, AnotherWriterTakesTheWaitingStateAfterAFailure) {
+  Host host(twoStageSettings());
+  host.list(1, {server(1, Role::kPrefill), server(2, Role::kDecode), server(3, Role::kDecode)});
+  host.request(1.1, "a");
+  const std::uint32_t writer = sentTo(host.ended(1.2, "a", 1, Outcome::kPrefilled));
+  const std::uint32_t next = sentTo(host.ended(1.3, "a", writer, Outcome::kError));
+  EXPECT_EQ(writer + next, 5U);
+}
+
+TEST(Life, SilentReaderIsCalledOffAndTheRequestGoesElsewhere) {
+  Host host(twoStageSettings());
+  host.list(1, {server(1, Role::kPrefill), server(2, Role::kPrefill), server(3, Role::kDecode)});
+  const std::uint32_t reader = sentTo(host.request(1.1, "a"));
+  const auto cancels = only<Cancel>(host.run(2.4));
+  ASSERT_EQ(cancels.size(), 1U);
+  EXPECT_EQ(sentTo(host.ended(2.45, "a", reader, Outcome::kCancelled)), 3U - reader);
+}
+
+TEST(Life, BrokenStreamIsNotTriedAgain) {
+  Host host(twoStageSettings());
+  host.list(1, {server(1, Role::kPrefill), server(2, Role::kDecode)});
+  host.request(1.1, "a");
+  host.ended(1.2, "a", 1, Outcome::kPrefilled);
+  host.streams(1.3, "a", 2);
+  EXPECT_TRUE(only<Send>(host.ended(1.5, "a", 2, Outcome::kReset, true)).empty());
+}
+
+TEST(Life, EmptyDiscoveryRefusesInTime) {
+  Host host(twoStageSettings());
+  host.list(1, {}, ServerList::Scope::kSaved);
+  host.request(1.1, "a");
+  const auto refused = only<Refuse>(host.run(2));
+  ASSERT_EQ(refused.size(), 1U);
+  EXPECT_DOUBLE_EQ(refused[0].retryAfter.count(), 1.0);
+  EXPECT_LT(host.now, 1.1 + 4);
+}
+
+TEST(Health, ErringServerIsEjectedAndComesBackOnTrial) {
+  Host host(twoStageSettings());
+  host.list(1, {server(1, Role::kPrefill), server(2, Role::kPrefill), server(3, Role::kDecode)});
+  double at = 1.1;
+  int sends = 0;
+  std::uint32_t bad = 0;  // fails everything: the reader that is picked first
+  for (int i = 0; i < 30; ++i, at += 0.05) {
+    const std::string id = "r" + std::to_string(i);
+    std::uint32_t to = sentTo(host.request(at, id, 200));
+    if (bad == 0) bad = to;
+    if (to == bad) {
+      ++sends;
+      to = sentTo(host.ended(at + 0.01, id, bad, Outcome::kError));
+    }
+    ASSERT_EQ(to, 3U - bad);
+    host.ended(at + 0.02, id, to, Outcome::kPrefilled);
+    host.streams(at + 0.03, id, 3);
+    host.ended(at + 0.04, id, 3, Outcome::kOk, true);
+  }
+  EXPECT_GT(sends, 0);
+  EXPECT_LE(sends, 4) << "two failures eject, one trial a second follows";
+}
+
+TEST(Overload, DeepQueueHoldsRequestsHereAndThenRefuses) {
+  Host host(twoStageSettings());
+  host.list(1, {server(1, Role::kPrefill), server(2, Role::kDecode)});
+  for (int i = 0; i < 20; ++i) host.request(1.1, "r" + std::to_string(i), 2000);
+  const std::size_t out = only<Send>(host.all).size();
+  EXPECT_GE(out, 1U);
+  EXPECT_LE(out, 4U);
+  EXPECT_EQ(only<Refuse>(host.run(1.9)).size(), 20 - out) << "none is kept past half of its aim";
+}
+
+TEST(Overload, BeyondItsShareATenantGivesWayFirst) {
+  Settings settings = twoStageSettings();
+  settings.tenants = {{0.5, 0.01}, {0.5, 100.0}};
+  Host host(settings);
+  host.list(1, {server(1, Role::kPrefill), server(2, Role::kDecode)});
+  // The writer took 0.17 s to a first token: requests inside their share wait for that (up to a quarter of
+  // the aim), those beyond it do not (a tenth).
+  host.request(1.01, "slow");
+  host.ended(1.02, "slow", 1, Outcome::kPrefilled);
+  host.streams(1.19, "slow", 2);
+  for (int i = 0; i < 8; ++i) {  // the first tenant may have one now
+    for (std::size_t tenant : {0U, 1U}) {
+      RequestArrived r = ask((tenant == 0 ? "beyond" : "within") + std::to_string(i), 100, 0);
+      r.tenant = tenant;
+      host.feed(1.2, r);
+    }
+  }
+  host.tick(1.22);
+  int beyond = 0, within = 0;
+  for (const Send& send : only<Send>(host.all)) {
+    beyond += send.id.value.rfind("beyond", 0) == 0;
+    within += send.id.value.rfind("within", 0) == 0;
+  }
+  EXPECT_LE(beyond, 1);
+  EXPECT_GT(within, beyond);
+}
+
+}  // namespace
+}  // namespace gannetcourse::test
--- /dev/null
+++ b/tests/rules_test.cpp
@@ -0,0 +1,351 @@
+// The five rules on their hard edges, and as invariants over long seeded random days.
+#include <gtest/gtest.h>
+
+#include <map>
+#include <random>
+#include <set>
+
+#include "harness.h"
+
+namespace gannetcourse::test {
+namespace {
+
+std::size_t answers(const std::vector<Action>& actions) {
+  return only<Refuse>(actions).size() + only<Fail>(actions).size();
+}
+
+TEST(NoLostRequest, AnsweredBeforeTheClientsTimeWithAnAttemptOut) {
+  Settings settings = twoStageSettings();
+  settings.cancelAllowed = false;
+  Host host(settings);
+  host.list(1, {server(1, Role::kPrefill), server(2, Role::kDecode)});
+  host.request(1.1, "a", 1000, 0.8);
+  host.run(1.1 + 0.8);
+  EXPECT_EQ(answers(host.all), 1U);
+  EXPECT_FALSE(only<Release>(host.all).empty());
+  EXPECT_TRUE(only<Send>(host.ended(1.95, "a", 1, Outcome::kTimeout)).empty());
+}
+
+TEST(NoLostRequest, HousekeepingGoesOnWhenTheHostRoundsItsTimers) {
+  Host host(twoStageSettings());
+  host.list(1, {});
+  EXPECT_EQ(only<SetTimer>(host.tick(1.0199999)).size(), 1U);  // fired a little early: must be set again
+}
+
+TEST(NoLostRequest, StateThatArrivesAfterTheEndIsLetGo) {
+  Host host(twoStageSettings());
+  host.list(1, {server(1, Role::kPrefill), server(2, Role::kDecode)});
+  host.request(1.1, "a");
+  host.feed(1.15, ClientGone{{"a"}});
+  EXPECT_EQ(only<Cancel>(host.last).size(), 1U);
+  host.ended(1.2, "a", 1, Outcome::kPrefilled);
+  EXPECT_EQ(only<Release>(host.last).size(), 1U);
+  EXPECT_TRUE(only<Send>(host.last).empty());
+}
+
+TEST(NoLostRequest, UnknownIdsArePassedOver) {
+  Host host(twoStageSettings());
+  host.list(1, {server(1, Role::kPrefill)});
+  EXPECT_TRUE(host.ended(1.1, "never", 1, Outcome::kPrefilled).empty());
+  EXPECT_TRUE(host.streams(1.1, "never", 1).empty());
+  EXPECT_TRUE(host.feed(1.1, ClientGone{{"never"}}).empty());
+}
+
+Settings effectSettings(Effect effect, DedupGroup group) {
+  Settings s = twoStageSettings();
+  s.classes[0].effect = effect;
+  s.classes[0].group = group;
+  s.classes[0].dedupWindow = Duration(1);
+  return s;
+}
+
+TEST(NoEffectTwice, UnsafeIsFailedAfterAWriterMayHaveRun) {
+  Host host(effectSettings(Effect::kUnsafe, DedupGroup::kAll));
+  host.list(1, {server(1, Role::kPrefill), server(2, Role::kDecode), server(3, Role::kDecode)});
+  host.request(1.1, "a");
+  const std::uint32_t writer = sentTo(host.ended(1.2, "a", 1, Outcome::kPrefilled));
+  host.ended(1.3, "a", writer, Outcome::kReset);
+  EXPECT_TRUE(only<Send>(host.last).empty());
+  EXPECT_EQ(only<Fail>(host.last).size(), 1U);
+  EXPECT_EQ(only<Release>(host.last).size(), 1U);
+}
+
+TEST(NoEffectTwice, UnsafeGoesAgainWhenProvedNotRun) {
+  Host host(effectSettings(Effect::kUnsafe, DedupGroup::kAll));
+  host.list(1, {server(1, Role::kPrefill), server(2, Role::kDecode), server(3, Role::kDecode)});
+  host.request(1.1, "a");
+  const std::uint32_t writer = sentTo(host.ended(1.2, "a", 1, Outcome::kPrefilled));
+  EXPECT_EQ(sentTo(host.ended(1.3, "a", writer, Outcome::kConnectFailed)), 5U - writer);
+}
+
+TEST(NoEffectTwice, KeyedStaysInItsCellAndIsNotRefused) {
+  Host host(effectSettings(Effect::kKeyed, DedupGroup::kCell));
+  host.list(1, {server(1, Role::kPrefill, 0), server(2, Role::kDecode, 0), server(3, Role::kDecode, 1)});
+  host.request(1.1, "a");
+  EXPECT_EQ(sentTo(host.ended(1.2, "a", 1, Outcome::kPrefilled)), 2U);
+  host.ended(1.3, "a", 2, Outcome::kError);
+  for (const Send& send : only<Send>(host.last)) EXPECT_EQ(send.server.value, 2U);
+  host.run(5.2);
+  for (const Send& send : only<Send>(host.all)) EXPECT_NE(send.server.value, 3U);
+  EXPECT_TRUE(only<Refuse>(host.all).empty());
+}
+
+TEST(NoEffectTwice, KeyedIsNotSentAfterItsWindow) {
+  Host host(effectSettings(Effect::kKeyed, DedupGroup::kAll));
+  host.list(1, {server(1, Role::kPrefill), server(2, Role::kDecode), server(3, Role::kDecode)});
+  host.request(1.1, "a");
+  const std::uint32_t writer = sentTo(host.ended(1.2, "a", 1, Outcome::kPrefilled));
+  host.ended(2.3, "a", writer, Outcome::kError);  // 1.1 s after that send, past the window of 1 s
+  for (const Send& send : only<Send>(host.last)) EXPECT_EQ(send.server.value, 1U);
+  host.run(5.2);
+  for (const Send& send : only<Send>(host.all))
+    EXPECT_TRUE(send.server.value == 1 || send.server.value == writer);
+}
+
+TEST(Drains, NothingNewFromTheMomentTheNodeIsTold) {
+  Host host(twoStageSettings());
+  host.list(1, {server(1, Role::kPrefill), server(2, Role::kPrefill), server(3, Role::kDecode)});
+  ServerEntry draining = server(1, Role::kPrefill);
+  draining.state = ServerEntry::State::kDraining;
+  host.list(1.1, {draining}, ServerList::Scope::kChanges);
+  for (int i = 0; i < 20; ++i) {
+    host.request(1.2, "r" + std::to_string(i), 100);
+    for (const Send& send : only<Send>(host.last)) EXPECT_EQ(send.server.value, 2U);
+  }
+  host.list(1.3, {server(3, Role::kDecode)});  // a full list without the readers: they are gone
+  host.request(1.4, "x", 100);
+  EXPECT_TRUE(only<Send>(host.last).empty());
+}
+
+TEST(Drains, FailedListKeepsTheOldOneAndAsksAgain) {
+  Settings settings = twoStageSettings();
+  settings.askDiscovery = true;
+  Host host(settings);
+  host.list(1, {server(1, Role::kPrefill), server(2, Role::kDecode)}, ServerList::Scope::kSaved);
+  EXPECT_EQ(only<SubscribeServers>(host.last).size(), 1U);
+  host.list(1.1, {}, ServerList::Scope::kFailed);
+  EXPECT_EQ(sentTo(host.request(1.2, "a")), 1U);
+  EXPECT_EQ(only<SubscribeServers>(host.run(3.0)).size(), 1U);
+}
+
+TEST(ColdServer, SendsInAnyWindowStayWithinTheBudget) {
+  Settings settings = twoStageSettings();
+  settings.classes[0].aim = Duration(100);
+  Host host(settings);
+  host.list(1, {server(1, Role::kPrefill), server(2, Role::kDecode)});
+  for (int i = 0; i < 100; ++i) {  // a warm reader takes 20 a second from us
+    const std::string id = "w" + std::to_string(i);
+    ASSERT_EQ(sentTo(host.request(1.1 + i * 0.05, id, 100)), 1U);
+    host.ended(1.12 + i * 0.05, id, 1, Outcome::kPrefilled);
+    host.streams(1.13 + i * 0.05, id, 2);
+    host.ended(1.14 + i * 0.05, id, 2, Outcome::kOk, true);
+  }
+  ServerEntry cold = server(9, Role::kPrefill);
+  cold.startedAt = Instant(Duration(6.2));
+  host.list(6.2, {cold}, ServerList::Scope::kChanges);
+  int sends = 0;
+  for (int i = 0; i < 200; ++i) {  // within its first 2 s, at 100 a second
+    host.request(6.2 + i * 0.01, "c" + std::to_string(i), 100);
+    for (const Send& send : only<Send>(host.last)) sends += send.server.value == 9;
+  }
+  EXPECT_GT(sends, 0);
+  // At its start it does 0.3 of 20 a second; 2.5 times that for 2 s are 30, growing a little as it warms.
+  EXPECT_LE(sends, 30);
+}
+
+TEST(ColdServer, NodeThatKnowsNothingSendsOneAWindow) {
+  Host host(twoStageSettings());
+  ServerEntry cold = server(1, Role::kPrefill);
+  cold.startedAt = Instant(Duration(0.9));
+  host.list(1, {cold, server(2, Role::kDecode)}, ServerList::Scope::kSaved);
+  for (int i = 0; i < 10; ++i) host.request(1.1 + i * 0.01, "r" + std::to_string(i), 100);
+  EXPECT_EQ(only<Send>(host.all).size(), 1U);
+}
+
+TEST(Pinned, StateWithoutAWriterIsLetGoWithinTheLimit) {
+  Host host(twoStageSettings());
+  host.list(1, {server(1, Role::kPrefill), server(2, Role::kDecode)});
+  host.request(1.1, "a");
+  ServerEntry gone = server(2, Role::kDecode);
+  gone.state = ServerEntry::State::kGone;
+  host.list(1.15, {gone}, ServerList::Scope::kChanges);
+  host.ended(1.2, "a", 1, Outcome::kPrefilled);
+  const auto seen = host.run(1.2 + 0.5);
+  EXPECT_EQ(only<Release>(seen).size(), 1U);
+  EXPECT_EQ(answers(seen), 1U);
+}
+
+// A host that plays random outcomes, late lists, restarts and clients that leave, and checks each action.
+class RandomDay {
+ public:
+  explicit RandomDay(std::uint32_t seed) : random_(seed), settings_(make(random_)), host_(settings_) {}
+
+  void play() {
+    for (std::uint32_t id = 1; id <= 8; ++id) entries_.push_back(server(id, role(id), id % 2, id % 3));
+    check(host_.list(now_, entries_, ServerList::Scope::kSaved));
+    for (int step = 0; step < 6000; ++step) {
+      now_ += 0.004;
+      if (draw(100) < 12 && step < 5000) arrive();
+      if (draw(1000) < 4) changeServer();
+      answerAttempts();
+      if (step % 5 == 0) check(host_.tick(now_));
+    }
+    EXPECT_GT(served_, 20);
+    for (const auto& [id, r] : requests_) EXPECT_TRUE(r.over) << id << " got no answer";
+  }
+
+ private:
+  struct Open {
+    double deadline = 0, heldSince = 0, firstRun = -1;
+    bool over = false, streaming = false, held = false, out = false;
+    int sends = 0;
+    std::uint32_t to = 0, ranCell = 0;
+    double until = 0;
+    bool mayHaveRun = false;
+    Effect effect = Effect::kSafe;
+  };
+
+  static Settings make(std::mt19937& random) {
+    Settings s = twoStageSettings();
+    s.cancelAllowed = random() % 2 == 0;
+    s.classes.resize(3, s.classes[0]);
+    s.classes[1].effect = Effect::kKeyed;
+    s.classes[1].group = DedupGroup::kCell;
+    s.classes[1].dedupWindow = Duration(1.5);
+    s.classes[2].effect = Effect::kUnsafe;
+    return s;
+  }
+
+  static Role role(std::uint32_t id) {
+    return id <= 3 ? Role::kPrefill : id <= 6 ? Role::kDecode : Role::kMixed;
+  }
+  int draw(int below) { return static_cast<int>(random_() % static_cast<std::uint32_t>(below)); }
+
+  void arrive() {
+    RequestArrived r;
+    r.id = {"q" + std::to_string(count_++)};
+    r.classIndex = static_cast<std::size_t>(draw(3));
+    r.timeLeft = Duration(0.3 + draw(30) * 0.1);
+    r.promptTokens = 100 + draw(4000);
+    r.session = static_cast<std::uint64_t>(draw(40));
+    r.maxOutputTokens = 200;
+    requests_[r.id.value].deadline = now_ + r.timeLeft.count();
+    requests_[r.id.value].effect = settings_.classes[r.classIndex].effect;
+    check(host_.feed(now_, r));
+  }
+
+  void changeServer() {
+    ServerEntry& e = entries_[static_cast<std::size_t>(draw(8))];
+    const bool serving = e.state == ServerEntry::State::kServing;
+    e.state = serving ? (draw(2) ? ServerEntry::State::kDraining : ServerEntry::State::kGone)
+                      : ServerEntry::State::kServing;
+    if (!serving) e.startedAt = Instant(Duration(now_ - 0.5));
+    check(host_.list(now_, {e}, ServerList::Scope::kChanges));
+  }
+
+  void answerAttempts() {
+    std::vector<std::string> due;
+    for (const auto& [id, r] : requests_) {
+      if (r.out && now_ >= r.until) due.push_back(id);
+    }
+    for (const std::string& id : due) answer(id, requests_[id]);
+    for (const auto& [id, r] : requests_) {
+      if (r.held && !r.out) {
+        EXPECT_LT(now_ - r.heldSince, settings_.pinLimit.count()) << id;
+      }
+      if (!r.over && !r.streaming) {
+        EXPECT_LT(now_, r.deadline) << id;
+      }
+    }
+  }
+
+  void answer(const std::string& id, Open& r) {
+    const bool reads = role(r.to) == Role::kPrefill;
+    if (r.streaming) {
+      r.streaming = r.out = false;
+      r.over = true;
+      ++served_;
+      check(host_.ended(now_, id, r.to, draw(10) ? Outcome::kOk : Outcome::kReset, true));
+      return;
+    }
+    const int luck = draw(10);
+    if (luck < 8 && !reads && !r.over) {
+      r.streaming = true;
+      r.held = false;
+      r.until = now_ + 0.5;
+      check(host_.streams(now_, id, r.to));
+      return;
+    }
+    Outcome outcome = Outcome::kPrefilled;
+    if (!reads || luck >= 8) {
+      const Outcome bad[] = {Outcome::kError, Outcome::kRejected, Outcome::kTimeout, Outcome::kConnectFailed,
+                             Outcome::kReset};
+      outcome = bad[draw(5)];
+    }
+    r.out = false;
+    if (outcome == Outcome::kPrefilled) r.held = true;
+    if (r.held) r.heldSince = now_;
+    const bool notRun = outcome == Outcome::kRejected || outcome == Outcome::kConnectFailed;
+    if (!reads && !notRun) {
+      if (!r.mayHaveRun) r.ranCell = r.to % 2;
+      r.mayHaveRun = true;
+    }
+    check(host_.ended(now_, id, r.to, outcome, r.over));
+  }
+
+  void check(const std::vector<Action>& actions) {
+    for (const Action& action : actions) {
+      if (const auto* send = std::get_if<Send>(&action)) sent(*send);
+      if (const auto* release = std::get_if<Release>(&action)) requests_[release->id.value].held = false;
+      if (const auto* refuse = std::get_if<Refuse>(&action)) {
+        Open& r = requests_[refuse->id.value];
+        const bool ran = r.mayHaveRun || (r.out && role(r.to) != Role::kPrefill);
+        EXPECT_TRUE(r.effect == Effect::kSafe || !ran) << "refused though it may have run";
+        ended(refuse->id.value);
+      }
+      if (const auto* fail = std::get_if<Fail>(&action)) ended(fail->id.value);
+    }
+  }
+
+  void sent(const Send& send) {
+    Open& r = requests_[send.id.value];
+    const ServerEntry& to = entries_[send.server.value - 1];
+    EXPECT_FALSE(r.over) << "sent after its end";
+    EXPECT_FALSE(r.out) << "a second attempt at once";
+    EXPECT_EQ(to.state, ServerEntry::State::kServing);
+    EXPECT_LE(++r.sends, settings_.maxAttempts);
+    EXPECT_GT(send.timeout.count(), 0);
+    if (role(to.id.value) != Role::kPrefill && r.mayHaveRun && r.effect != Effect::kSafe) {
+      EXPECT_EQ(r.effect, Effect::kKeyed) << "an unsafe request went out again";
+      EXPECT_EQ(to.cell, r.ranCell);
+      EXPECT_LE(now_, r.firstRun + 1.5);
+    }
+    if (role(to.id.value) != Role::kPrefill && (r.firstRun < 0 || !r.mayHaveRun)) r.firstRun = now_;
+    r.out = true;
+    r.to = send.server.value;
+    r.until = now_ + std::min(send.timeout.count(), 0.02 + draw(20) * 0.02);
+  }
+
+  void ended(const std::string& id) {
+    EXPECT_FALSE(requests_[id].over) << id << " got two answers";
+    EXPECT_LE(now_, requests_[id].deadline) << id;
+    requests_[id].over = true;
+  }
+
+  std::mt19937 random_;
+  Settings settings_;
+  Host host_;
+  std::vector<ServerEntry> entries_;
+  std::map<std::string, Open> requests_;
+  double now_ = 1;
+  int count_ = 0, served_ = 0;
+};
+
+class RandomDays : public testing::TestWithParam<std::uint32_t> {};
+
+TEST_P(RandomDays, KeepTheRules) { RandomDay(GetParam()).play(); }
+
+INSTANTIATE_TEST_SUITE_P(Seeds, RandomDays, testing::Range(1U, 13U));
+
+}  // namespace
+}  // namespace gannetcourse::test
