--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -24,7 +24,6 @@
 constexpr double kForget = 8;             // learned figures fade towards their peers' over this
 constexpr double kMemory = 5;             // samples that a learned figure averages over
 constexpr double kPriorWeight = 0.5;      // samples that the peers' figure counts for
-constexpr double kRise = 0.2;             // reading speeds are learned from the least disturbed reads
 constexpr double kReadPrior = 1e-4;       // reading, a token
 constexpr double kReadFloorTokens = 300;  // a read's fixed cost, as tokens
 constexpr double kOutlier = 2.5;          // a reader this much slower than its peers counts as slow
@@ -62,10 +61,10 @@
 // A figure learned from samples: recent ones count most, and without new ones it fades towards `prior`.
 class Learned {
  public:
-  explicit Learned(double forget = kForget, double rise = 1) : forget_(forget), rise_(rise) {}
+  explicit Learned(double forget = kForget) : forget_(forget) {}
   void add(double sample, double now) {
     weight_ = std::min(weightAt(now) + 1, kMemory);
-    value_ += (sample - value_) / weight_ * (sample > value_ && weight_ > 1 ? rise_ : 1);
+    value_ += (sample - value_) / weight_;
     at_ = now;
   }
   double get(double now, double prior) const {
@@ -76,7 +75,7 @@
 
  private:
   double weightAt(double now) const { return weight_ * std::exp((at_ - now) / forget_); }
-  double forget_, rise_;  // a rise below 1 learns a low quantile
+  double forget_;
   double value_ = 0, weight_ = 0, at_ = 0;
 };
 
@@ -84,7 +83,7 @@
 struct Process {
   LoadReport report;
   double reportAt = -1e9, score = 0.5;
-  Learned readCost{kForget, kRise}, wait{kScoreWindow, 1};
+  Learned readCost{kForget}, wait{kScoreWindow};
   Learned trust{kForget};                 // share of the credited prompt tokens found kept
   double readVolume = 0;                  // prompt tokens that it has read anew for us
   double recentTokens = 0, recentAt = 0;  // sent to it lately, fading: not in its reports yet
