--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -416,12 +416,14 @@
         {told.memoryShare.value_or(0) + since, s.heldTokens / s.room(), told.busyShare.value_or(0)});
   }
 
-  bool yields(const Server& s) const {
-    return filled(s) > kNearlyFull || (fresh(s) && s.report.queued.value_or(0) >= 1) || now_ < s.fullUntil;
+  bool yields(const Server& s, const Request& r) const {
+    return filled(s) + r.need / s.room() > kNearlyFull || (fresh(s) && s.report.queued.value_or(0) >= 1) ||
+           now_ < s.fullUntil;
   }
-  double writerWait(const Server& s) const {
+  double writerWait(const Server& s, const Request& r) const {
     double wait = s.wait.get(now_, waitPrior_) * (0.5 + s.score) + ill(s);
-    if (yields(s)) wait += kYieldShare * shortestAim_ + 3 * std::max(0.0, filled(s) - kNearlyFull);
+    if (yields(s, r))
+      wait += kYieldShare * shortestAim_ + 3 * std::max(0.0, filled(s) + r.need / s.room() - kNearlyFull);
     return wait;
   }
 
@@ -536,7 +538,7 @@
       const double time = readTime(s, fresh);
       double cost = time + kMissWeight * readRate(s) * fresh + kScoreTime * s.score + ill(s) +
                     (s.entry.zone == set_.zone ? 0 : kFarBias);
-      cost += whole ? writerWait(s) : std::min(shortestAim_, planWrite(r, s, true).cost);
+      cost += whole ? writerWait(s, r) : std::min(shortestAim_, planWrite(r, s, true).cost);
       if (s.entry.role == Role::kDecode) cost += kLastResort;
       if (best.offer(r, s, cost)) best.time = time, best.whole = whole;
     }
@@ -552,7 +554,7 @@
     for (auto& [id, s] : servers_) {
       if (s.reads() || s.entry.role == Role::kUnknown || !mayTake(s, r, strict) || !mayRunOn(r, s)) continue;
       const double last = s.entry.role == Role::kMixed ? kLastResort : 0;
-      best.offer(r, s, transferTime(reader, s, r.ask.promptTokens) + writerWait(s) + last);
+      best.offer(r, s, transferTime(reader, s, r.ask.promptTokens) + writerWait(s, r) + last);
     }
     return best;
   }
@@ -584,7 +586,8 @@
   bool roomAhead(const Request& r) const {
     const double most = kWriterShare * shortestAim_ * (r.overShare ? kOverShareRoom : 1);
     for (const auto& [id, s] : servers_) {
-      if (!s.reads() && s.entry.role != Role::kUnknown && s.serving() && writerWait(s) <= most) return true;
+      if (!s.reads() && s.entry.role != Role::kUnknown && s.serving() && writerWait(s, r) <= most)
+        return true;
     }
     return false;
   }
