--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -416,15 +416,13 @@
         {told.memoryShare.value_or(0) + since, s.heldTokens / s.room(), told.busyShare.value_or(0)});
   }
 
-  bool yields(const Server& s, const Request& r) const {
-    return filled(s) + r.need / s.room() > kNearlyFull || (fresh(s) && s.report.queued.value_or(0) >= 1) ||
-           now_ < s.fullUntil;
-  }
+  // One with a queue, or that this request would fill, yields to the next.
   double writerWait(const Server& s, const Request& r) const {
+    const double after = filled(s) + r.need / s.room();
+    const bool queues = fresh(s) && s.report.queued.value_or(0) >= 1;
     double wait = s.wait.get(now_, waitPrior_) * (0.5 + s.score) + ill(s);
-    if (yields(s, r))
-      wait += kYieldShare * shortestAim_ + 3 * std::max(0.0, filled(s) + r.need / s.room() - kNearlyFull);
-    return wait;
+    if (after > kNearlyFull || queues || now_ < s.fullUntil) wait += kYieldShare * shortestAim_;
+    return wait + 3 * std::max(0.0, after - kNearlyFull);
   }
 
   double expectedOutput(const Request& r) const {
