Own attempts waiting at a writer count in its pick

Cause: several states in a row went to one writer whose wait had grown, for seconds, while others were idle.

--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -551,8 +551,9 @@
     Plan best;
     for (auto& [id, s] : servers_) {
       if (s.reads() || s.entry.role == Role::kUnknown || !mayTake(s, r, strict) || !mayRunOn(r, s)) continue;
+      const double ahead = s.waiting * s.wait.get(now_, waitPrior_);  // our own that wait there already
       const double last = s.entry.role == Role::kMixed ? kLastResort : 0;
-      best.offer(r, s, transferTime(reader, s, r.ask.promptTokens) + writerWait(s, r) + last);
+      best.offer(r, s, transferTime(reader, s, r.ask.promptTokens) + writerWait(s, r) + ahead + last);
     }
     return best;
   }
@@ -770,8 +771,7 @@
     if (s.failures < kFailureStep / 4) s.strikes = 0;
     if (now_ < s.ejectedUntil || !s.trial) return;
     s.trial = false;
-    if (s.lostContact) s.coldSince = std::max(s.coldSince, now_);  // slow start
-    s.lostContact = false;
+    if (std::exchange(s.lostContact, false)) s.coldSince = std::max(s.coldSince, now_);  // slow start
   }
 
   // ---- Fair shares ----
