Cold budget from the most that servers took lately; long gaps where it is under one request

Cause: what the few warm servers took stood for a cold one's capacity, and all sends of the role counted as theirs. Fills returning servers more slowly when many restart.

--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -51,10 +51,13 @@
 constexpr double kEjectFirst = 1;      // ejection time, doubled at each further one ...
 constexpr double kEjectMost = 8;       // ... up to this
 constexpr double kFullPause = 0.15;    // a server that refused for a full queue is passed over for this
+constexpr double kColdUnknown = 2;     // requests a window, of all nodes, that a cold server bears surely
+constexpr double kColdMemory = 60;     // how long the most that servers took is remembered
 constexpr double kColdSafety = 0.6;    // share of the cold budget that is used
 constexpr double kProbeOften = 0.4;    // a server is probed no more often than this
 constexpr double kProbeBudget = 0.004;  // result that probing may cost
-constexpr double kAskAgain = 0.7;       // pause after a failed discovery call
+constexpr char kAskTimer[] = "ask";
+constexpr double kAskAgain = 0.7;  // pause after a failed discovery call
 
 double sec(Duration d) { return d.count(); }
 
@@ -100,7 +103,7 @@
   int reading = 0, waiting = 0, streaming = 0, sending = 0;  // our own record of work out
   double queuedTokens = 0, heldTokens = 0;                   // prompt tokens to read; states and streams
   double coldSince = -1e9, nextProbe = 0;
-  std::deque<std::pair<double, double>> coldSends;  // time and weight of the sends within the cold window
+  std::deque<std::pair<double, double>> coldSends;  // time and weight of the sends of a warming time
 
   bool serving() const { return entry.state == ServerEntry::State::kServing; }
   double room() const { return entry.memoryTokens > 0 ? entry.memoryTokens : kMemoryPrior; }
@@ -119,7 +122,7 @@
   int sends = 0, timeouts = 0, writerFailures = 0;
   bool out = false, whole = false, calledOff = false;  // an attempt is out, reads and writes, was cancelled
   ServerId server, reader;                             // of the last attempt; where the state waits
-  double sentAt = 0, expected = 0, heldSince = 0, credit = 0, transfer = 0;
+  double sentAt = 0, expected = 0, heldSince = 0, credit = 0;
   double readTokens = 0, planTokens = 1, need = 0;  // to read; in the estimate; of a writer's memory
   bool mayHaveRun = false;  // some attempt may have had its effect; the first was sent then and there
   double firstRunAt = 0;
@@ -155,7 +158,7 @@
   void on(const ServerList& list) {
     const bool first = !std::exchange(started_, true);
     if (list.scope == ServerList::Scope::kFailed) {
-      askAt_ = now_ + kAskAgain * (0.5 + draw());
+      act(SetTimer{Instant(Duration(now_ + kAskAgain * (0.5 + draw()))), kAskTimer});
     } else {
       if (list.scope != ServerList::Scope::kChanges) {
         for (auto& [id, s] : servers_) s.entry.state = ServerEntry::State::kGone;
@@ -240,8 +243,7 @@
   }
 
   void on(const HoldAnswered&) {}  // places are not held ahead: the writer is picked after the read
-
-  void on(const TimerFired&) { sweep(); }  // the one timer: the host may round its time
+  void on(const TimerFired& e) { e.token == kAskTimer ? act(SubscribeServers{}) : sweep(); }
 
   void on(const ClientGone& e) {
     const auto it = requests_.find(e.id);
@@ -253,12 +255,9 @@
     act(SetTimer{Instant(Duration(now_ + kSweep)), "sweep"});
     watchRequests();
     updateScores();
+    updateTaken();
     drainQueue();
     probeServers();
-    if (askAt_ > 0 && now_ >= askAt_) {
-      askAt_ = 0;
-      act(SubscribeServers{});
-    }
     std::erase_if(servers_, [](const auto& e) {
       return e.second.entry.state == ServerEntry::State::kGone && e.second.idle();
     });
@@ -267,10 +266,9 @@
     }
   }
 
-  // Every request has its answer before the client's time is up, whatever is out for it; a state that found
-  // no writer is offered again. Guards against silence: a server whose work is out for longer than expected
-  // is avoided before any time-out tells so, and its attempts are called off while others could follow. Also
-  // catches stalls and crawling links; a burst of long prompts may trip it briefly.
+  // Every request has its answer before the client's time is up. Guards against silence, be it a hang, a
+  // stall or a cut link: a server whose work is out for longer than expected is avoided early, and its
+  // attempts are called off while others could follow. A burst of long prompts may trip it briefly.
   void watchRequests() {
     const double margin = kSweep + 2 * sec(set_.tick) + 0.002;
     for (auto& [id, s] : servers_) s.overdue = 0;
@@ -369,8 +367,8 @@
   double median(Role role, Learned Server::*figure, double otherwise) const {
     std::vector<double> values;
     for (const auto& [id, s] : servers_) {
-      const bool fits = s.entry.role == role || s.entry.role == Role::kMixed;
-      if (fits && s.serving() && (s.*figure).known(now_)) values.push_back((s.*figure).get(now_, otherwise));
+      if ((s.entry.role == role || s.entry.role == Role::kMixed) && s.serving() && (s.*figure).known(now_))
+        values.push_back((s.*figure).get(now_, otherwise));
     }
     if (values.empty()) return otherwise;
     std::nth_element(values.begin(), values.begin() + static_cast<long>(values.size() / 2), values.end());
@@ -406,8 +404,7 @@
     return rate * tokens + kFarBias * kind;
   }
 
-  // Share of a writer's memory that is held: as reported and what was sent since, or by our own record as
-  // if every node sent as much as we do.
+  // Share of a writer's memory that is held: as reported and sent since, else our own times the nodes.
   double filled(const Server& s) const {
     const LoadReport told = fresh(s) ? s.report : LoadReport{};
     const double recent = s.recentTokens * std::exp((s.recentAt - now_) / kRecent) * set_.nodes / 2;
@@ -465,26 +462,31 @@
     return std::find(r.failedOn.begin(), r.failedOn.end(), s.entry.id) == r.failedOn.end();
   }
 
-  // A cold server gets no more than this node's part of what it can do. Servers that come back from lost
-  // contact count as cold too, since they may have been replaced before the list says so.
+  // A cold server gets no more than this node's part of what it can do, in any window; where that is less
+  // than one request, one in a longer time. The most that the role's servers took from us on average stands
+  // for a warm one. Servers back from lost contact count as cold: they may be new.
   bool withinColdBudget(const Server& s, const Request& r) const {
-    const double age = now_ - s.coldSince, warm = sec(set_.coldWarmAfter);
+    const double age = std::max(0.0, now_ - s.coldSince), warm = sec(set_.coldWarmAfter);
     if (age >= warm) return true;
-    const double able =
-        set_.coldStartCapacity + (1 - set_.coldStartCapacity) * 0.5 * std::max(0.0, age) / warm;
-    const double window = sec(set_.coldWindow);
-    const double budget = kColdSafety * set_.coldOverloadFactor * able * window * warmRate(s.entry.role);
+    const double able = set_.coldStartCapacity + (1 - set_.coldStartCapacity) / 2 * age / warm;
+    const double taken = taken_[static_cast<std::size_t>(s.entry.role)] * sec(set_.coldWindow);
+    const double part = kColdSafety * set_.coldOverloadFactor * able * taken;
+    const double budget = std::max(part, std::min(1.0, kColdUnknown / set_.nodes)), weight = sendWeight(r);
+    const double span = sec(set_.coldWindow) * std::max(1.0, weight / budget);
     double spent = 0;
-    for (const auto& [at, weight] : s.coldSends) spent += at > now_ - window ? weight : 0;
-    return spent == 0 || spent + sendWeight(r) <= budget;
-  }
-
-  // What a warm server of the role takes from us, in weights a second.
-  double warmRate(Role role) const {
-    double servers = 0;
-    for (const auto& [id, s] : servers_)
-      servers += s.entry.role == role && s.serving() && now_ - s.coldSince >= sec(set_.coldWarmAfter);
-    return servers == 0 ? 0 : roleSends_[static_cast<std::size_t>(role)].first / kForget / servers;
+    for (const auto& [at, sent] : s.coldSends) spent += at > now_ - span ? sent : 0;
+    return spent + weight <= std::max(budget, weight);
+  }
+
+  // What each server of a role takes from us on average, in weights a second: the most seen lately.
+  void updateTaken() {
+    for (std::size_t role = 0; role < taken_.size(); ++role) {
+      double servers = 0;
+      for (const auto& [id, s] : servers_) servers += s.entry.role == static_cast<Role>(role) && s.serving();
+      rates_[role] += (std::exchange(sent_[role], 0) - rates_[role] * kSweep) / kForget;
+      taken_[role] =
+          std::max(rates_[role] / std::max(1.0, servers), taken_[role] * (1 - kSweep / kColdMemory));
+    }
   }
 
   double sendWeight(const Request& r) const {
@@ -570,8 +572,8 @@
     Plan plan = planRead(r, true);
     if (plan.server == nullptr) plan = planRead(r, false);
     if (plan.server != nullptr) {
-      const int needed = plan.whole ? 1 : 2;
-      if (now_ + plan.time >= r.deadline || r.sends + needed > set_.maxAttempts) return finish(r), true;
+      if (now_ + plan.time >= r.deadline || r.sends + (plan.whole ? 1 : 2) > set_.maxAttempts)
+        return finish(r), true;
       const bool shallow = readTime(*plan.server, 0) <= kQueueShare * shortestAim_;
       if (shallow && roomAhead(r)) return sendRead(r, plan), true;
     }
@@ -610,12 +612,11 @@
     Server* s = planWrite(r, *reader, true).server;
     if (s == nullptr) s = planWrite(r, *reader, false).server;
     if (s != nullptr) {
-      r.transfer = transferTime(*reader, *s, r.ask.promptTokens);
       r.stage = Stage::kWriting;
       r.whole = false;
       s->waiting += 1;
       reader->sending += 1;
-      return send(r, *s, r.transfer + s->wait.get(now_, waitPrior_));
+      return send(r, *s, transferTime(*reader, *s, r.ask.promptTokens) + s->wait.get(now_, waitPrior_));
     }
     // Nothing may stay pinned: a state that no writer can take is let go well before the limit.
     if (sec(set_.pinLimit) > 0 && now_ - r.heldSince > 0.6 * sec(set_.pinLimit) - 2 * kSweep) finish(r);
@@ -633,11 +634,9 @@
       s.recentTokens = s.recentTokens * std::exp((s.recentAt - now_) / kRecent) + r.need;
       s.recentAt = now_;
     }
-    auto& [sum, at] = roleSends_[static_cast<std::size_t>(s.entry.role)];
-    sum = sum * std::exp((at - now_) / kForget) + sendWeight(r);
-    at = now_;
+    sent_[static_cast<std::size_t>(s.entry.role)] += sendWeight(r);
     s.coldSends.emplace_back(now_, sendWeight(r));
-    while (s.coldSends.front().first < now_ - sec(set_.coldWindow)) s.coldSends.pop_front();
+    while (s.coldSends.front().first < now_ - sec(set_.coldWarmAfter)) s.coldSends.pop_front();
     // Where attempts can be called off, silence ends them; the time-out only leaves room for another try.
     const double most = (r.deadline - now_) * (mayTryOn(r) ? kTryShare : 1);
     act(Send{r.ask.id, s.entry.id, Duration(set_.cancelAllowed ? most : std::min(most, patience(r)))});
@@ -737,15 +736,15 @@
     const Server* reader = find(r.reader);
     if (r.stage == Stage::kReading || reader == nullptr) return;
     const int kind = linkKind(*reader, s);
-    if (kind == 0) return s.wait.add(std::max(0.002, took - r.transfer), now_);
+    if (kind == 0)
+      return s.wait.add(std::max(0.002, took - transferTime(*reader, s, r.ask.promptTokens)), now_);
     const double moved = std::max(0.0, took - s.wait.get(now_, waitPrior_)) / (r.ask.promptTokens + 1);
     links_[{reader->entry.cell, kind}].add(moved, now_);
   }
 
   // ---- Health ----
-  // Outlier ejection from symptoms: errors, lost connections and time-outs raise a server's failure level,
-  // successes lower it. Time-outs do not eject when half of the role is out already: then the cause may be a
-  // link or the load, and fewer servers would make it worse.
+  // Outlier ejection from symptoms: errors, lost connections and time-outs. Time-outs do not eject when half
+  // of the role is out already: then the cause may be a link or the load.
   void blame(Server& s, Outcome outcome) {
     const bool contact = outcome == Outcome::kConnectFailed || outcome == Outcome::kReset;
     s.lostContact |= contact || outcome == Outcome::kTimeout;
@@ -786,7 +785,6 @@
     left -= 1;
     return true;
   }
-  // ---- Small things ----
   Server* find(ServerId id) {
     const auto it = servers_.find(id);
     return it == servers_.end() ? nullptr : &it->second;
@@ -802,7 +800,7 @@
 
   Settings set_;
   std::uint64_t random_;
-  double now_ = 0, scoredAt_ = 0, askAt_ = 0, lastArrival_ = 0;
+  double now_ = 0, scoredAt_ = 0, lastArrival_ = 0;
   double shortestAim_ = 1e9;
   bool started_ = false;
   std::vector<Action>* out_ = nullptr;
@@ -813,9 +811,10 @@
   std::unordered_map<std::uint64_t, std::vector<Kept>> kept_;  // never walked in its own order
   std::map<std::pair<std::uint32_t, int>, Learned>
       links_;  // a token's move, by the reader's cell and link kind
-  std::array<std::pair<double, double>, 4> roleSends_{};  // by role: fading sum of our sends, and when
-  Learned gap_;                                           // between requests
-  std::vector<std::pair<double, double>> buckets_;        // for each tenant: requests in hand, and when
+  std::array<double, 4> sent_{}, rates_{},
+      taken_{};  // by role: sends since the last sweep, a second, see there
+  Learned gap_;  // between requests
+  std::vector<std::pair<double, double>> buckets_;  // for each tenant: requests in hand, and when
   Learned meanPrompt_;
   Learned usual_[2];  // time that reads, and writers' first tokens, took lately
   double readPrior_ = kReadPrior, waitPrior_ = kWaitPrior;
--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -124,8 +124,12 @@
   host.list(1, {server(1, Role::kPrefill), server(2, Role::kDecode)}, ServerList::Scope::kSaved);
   EXPECT_EQ(only<SubscribeServers>(host.last).size(), 1U);
   host.list(1.1, {}, ServerList::Scope::kFailed);
+  const auto timers = only<SetTimer>(host.last);
+  ASSERT_EQ(timers.size(), 1U);
   EXPECT_EQ(sentTo(host.request(1.2, "a")), 1U);
-  EXPECT_EQ(only<SubscribeServers>(host.run(3.0)).size(), 1U);
+  host.feed(timers[0].at.time_since_epoch().count(), TimerFired{timers[0].token});
+  EXPECT_EQ(only<SubscribeServers>(host.last).size(), 1U);
+  EXPECT_TRUE(only<SetTimer>(host.last).empty()) << "housekeeping keeps its own pace";
 }
 
 TEST(ColdServer, SendsInAnyWindowStayWithinTheBudget) {
@@ -162,6 +166,47 @@
   EXPECT_EQ(only<Send>(host.all).size(), 1U);
 }
 
+// A rolling restart with six nodes: few servers are warm, so what a warm one takes now says little about what
+// a cold one can do.
+TEST(ColdServer, RollingRestartDoesNotRaiseTheBudget) {
+  Settings settings = twoStageSettings();
+  settings.classes[0].aim = Duration(100);
+  settings.nodes = 6;
+  Host host(settings);
+  std::vector<ServerEntry> entries = {server(1, Role::kPrefill), server(9, Role::kDecode)};
+  for (std::uint32_t id = 2; id <= 4; ++id) {
+    entries.push_back(server(id, Role::kPrefill));
+    entries.back().startedAt = Instant(Duration(6 + id * 0.1));
+  }
+  host.list(1, {entries[0], entries[1]});
+  int sends = 0;
+  for (int i = 0; i < 400; ++i) {  // 40 a second, all to the only warm reader until the others start
+    if (i == 240) host.list(7, {entries[2], entries[3], entries[4]}, ServerList::Scope::kChanges);
+    const double at = 1 + i * 0.025;
+    const std::string id = "r" + std::to_string(i);
+    const std::uint32_t reader = sentTo(host.request(at, id, 100));
+    if (at >= 7 && at < 9) sends += reader == 2;
+    host.tick(at);
+    if (reader == 0) continue;
+    host.ended(at + 0.01, id, reader, Outcome::kPrefilled);
+    host.streams(at + 0.011, id, 9);
+    host.ended(at + 0.012, id, 9, Outcome::kOk, true);
+  }
+  // A warm reader was seen to take 40 a second from us: 0.3 * 40 * 2.5 * 2 s = 60, of which 0.6 are used.
+  EXPECT_LE(sends, 40);
+}
+
+TEST(ColdServer, ManyNodesThatKnowNothingSendFewTogether) {
+  Settings settings = twoStageSettings();
+  settings.nodes = 6;
+  ServerEntry cold = server(1, Role::kPrefill);
+  cold.startedAt = Instant(Duration(0.9));
+  Host host(settings);
+  host.list(1, {cold, server(2, Role::kDecode)}, ServerList::Scope::kSaved);
+  for (int i = 0; i < 50; ++i) host.request(1.1 + i * 0.1, "r" + std::to_string(i), 100, 10);
+  EXPECT_EQ(only<Send>(host.all).size(), 1U) << "a third of a request in each window of 2 s";
+}
+
 TEST(Pinned, StateWithoutAWriterIsLetGoWithinTheLimit) {
   Host host(twoStageSettings());
   host.list(1, {server(1, Role::kPrefill), server(2, Role::kDecode)});
