Answer a request at once when no server may run it again

Keyed and unsafe requests that may have run and have no server left waited here for half of their aim. No effect where all classes are safe.

--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -576,6 +576,7 @@
       const bool shallow = readTime(*plan.server, 0) <= kQueueShare * shortestAim_;
       if (shallow && roomAhead(r)) return sendRead(r, plan), true;
     }
+    if (plan.server == nullptr && r.mayHaveRun && classOf(r).effect != Effect::kSafe) return finish(r), true;
     // Long queues at readers push out the text they keep and so slow them further. Waiting here costs no
     // server anything, but what cannot come in time is refused early.
     if (now_ <= (r.arrived + r.aimAt) / 2) return false;
--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -97,6 +97,7 @@
   const std::uint32_t writer = sentTo(host.ended(1.2, "a", 1, Outcome::kPrefilled));
   host.ended(2.3, "a", writer, Outcome::kError);  // 1.1 s after that send, past the window of 1 s
   EXPECT_TRUE(only<Send>(host.last).empty()) << "not even to a reader";
+  EXPECT_EQ(only<Refuse>(host.last).size(), 1U) << "given up, so answered at once";
   EXPECT_TRUE(only<Send>(host.run(5.2)).empty());
 }
 
