--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -576,7 +576,6 @@
       const bool shallow = readTime(*plan.server, 0) <= kQueueShare * shortestAim_;
       if (shallow && roomAhead(r)) return sendRead(r, plan), true;
     }
-    if (plan.server == nullptr && r.mayHaveRun && classOf(r).effect != Effect::kSafe) return finish(r), true;
     // Long queues at readers push out the text they keep and so slow them further. Waiting here costs no
     // server anything, but what cannot come in time is refused early.
     if (now_ <= (r.arrived + r.aimAt) / 2) return false;
@@ -667,7 +666,8 @@
     }
     if (e.outcome == Outcome::kTimeout || r.calledOff) ++r.timeouts;
     r.failedOn.push_back(e.server);
-    const bool spent = classOf(r).effect == Effect::kUnsafe && r.mayHaveRun;
+    bool spent = r.mayHaveRun;  // and no server may run it again
+    for (const auto& [id, s] : servers_) spent = spent && !(s.serving() && mayRunOn(r, s));
     if (spent || e.outcome == Outcome::kNotSent) return finish(r);
     const bool holds = r.stage == Stage::kWriting && e.outcome != Outcome::kStateLost;
     if (holds && ++r.writerFailures < 3) {
