Tidy the module: one name for servers that write, indicators once a server

The test for a server that may write stood twice, spelled out; it is Server::writes() now. Each server's load indicators were built five times in a row in both passes of the score; now once a pass. A constant's comment had come apart from the one it describes; functions are set apart again.

--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -34,8 +34,8 @@
 constexpr double kLinkPrior[] = {5e-6, 2e-5, 4e-5};  // a state's move, a token: cell, zone, beyond
 constexpr double kFarBias = 0.02;                    // prices of leaving the cell or the zone, as time
 constexpr double kKeepFor = 120;                     // ageing of the prefix table
-constexpr double kMemoryPrior = 2e5;                 // tokens, of a server that does not tell its memory
 constexpr std::size_t kMostKept = 50000;             // its entries before old ones are dropped
+constexpr double kMemoryPrior = 2e5;                 // tokens, of a server that does not tell its memory
 constexpr double kLastResort = 100;                  // cost of having a pure writer read
 constexpr int kMostHeldTried = 16;      // requests that may stay before a pass over our queue ends
 constexpr double kNearlyFull = 0.9;     // a writer's memory share from which it yields
@@ -109,6 +109,7 @@
   double room() const { return entry.memoryTokens > 0 ? entry.memoryTokens : kMemoryPrior; }
   bool idle() const { return reading + waiting + streaming + sending == 0; }
   bool reads() const { return entry.role == Role::kPrefill; }
+  bool writes() const { return entry.role == Role::kDecode || entry.role == Role::kMixed; }
   int unanswered() const { return reading + waiting; }
 };
 
@@ -299,6 +300,7 @@
     const bool effectDone = runsEffect(r) && classOf(r).effect == Effect::kUnsafe;
     return !effectDone && r.sends + (r.stage == Stage::kReading ? 2 : 1) <= set_.maxAttempts;
   }
+
   // A request that is alone goes at once, others with the next sweep.
   void enqueue(Request& r) {
     queue_.emplace(r.aimAt, r.ask.id);
@@ -315,6 +317,7 @@
       next = stays ? std::next(next) : queue_.erase(next);
     }
   }
+
   // Probes serve the load reports. Their rate keeps what they cost under a fixed part of the result.
   void probeServers() {
     if (!set_.probesAllowed || set_.reporting == Reporting::kNone) return;
@@ -341,21 +344,21 @@
   void updateScores() {
     const double step = 1 - std::exp(-(now_ - scoredAt_) / kScoreWindow);
     scoredAt_ = now_;
-    std::map<Role, std::array<std::pair<double, double>, 5>>
-        totals;  // sums over a role's servers, and counts
+    std::map<Role, std::array<std::pair<double, double>, 5>> totals;  // of each role: sums and counts
     for (const auto& [id, s] : servers_) {
-      for (std::size_t i = 0; i < 5 && s.serving(); ++i) {
-        const auto value = indicators(s)[i];
-        totals[s.entry.role][i].first += value.value_or(0);
-        totals[s.entry.role][i].second += value.has_value();
+      const Indicators told = indicators(s);
+      for (std::size_t i = 0; i < told.size() && s.serving(); ++i) {
+        totals[s.entry.role][i].first += told[i].value_or(0);
+        totals[s.entry.role][i].second += told[i].has_value();
       }
     }
     for (auto& [id, s] : servers_) {
+      const Indicators told = indicators(s);
       double sum = 0, terms = 0;
-      for (std::size_t i = 0; i < 5; ++i) {
+      for (std::size_t i = 0; i < told.size(); ++i) {
         const auto [total, count] = totals[s.entry.role][i];
         if (count == 0) continue;
-        const double mean = total / count, mine = indicators(s)[i].value_or(mean);
+        const double mean = total / count, mine = told[i].value_or(mean);
         sum += i > 2 ? mine : mean > 0 ? mine / (mine + mean) : 0.5;
         terms += 1;
       }
@@ -364,6 +367,7 @@
     readPrior_ = median(Role::kPrefill, &Server::readCost, kReadPrior);
     waitPrior_ = median(Role::kDecode, &Server::wait, kWaitPrior);
   }
+
   double median(Role role, Learned Server::*figure, double otherwise) const {
     std::vector<double> values;
     for (const auto& [id, s] : servers_) {
@@ -434,6 +438,7 @@
         std::max(keptAt(r.ask.session, s), std::min(keptAt(r.ask.prefix, s), r.ask.prefixTokens));
     return std::min(most, r.ask.promptTokens) * std::min(1.0, s.trust.get(now_, 1));
   }
+
   // Tokens of a text that a server still keeps. They age by what it has read since, by our record as if every
   // node sent as much: new text pushes old text out of its memory.
   double keptAt(std::uint64_t key, const Server& s) const {
@@ -446,6 +451,7 @@
     }
     return 0;
   }
+
   void keep(std::uint64_t key, const Server& s, double tokens) {
     if (key == 0 || tokens <= 0) return;
     std::vector<Kept>& list = kept_[key];
@@ -543,6 +549,7 @@
     }
     return best;
   }
+
   bool readsWhole(const Server& s) const {
     return s.entry.role == Role::kMixed || (s.entry.role == Role::kDecode && set_.decodeMayPrefill);
   }
@@ -551,7 +558,7 @@
   Plan planWrite(const Request& r, const Server& reader, bool strict) {
     Plan best;
     for (auto& [id, s] : servers_) {
-      if (s.reads() || s.entry.role == Role::kUnknown || !mayTake(s, r, strict) || !mayRunOn(r, s)) continue;
+      if (!s.writes() || !mayTake(s, r, strict) || !mayRunOn(r, s)) continue;
       const double ahead = s.waiting * s.wait.get(now_, waitPrior_);  // our own that wait there already
       const double last = s.entry.role == Role::kMixed ? kLastResort : 0;
       best.offer(r, s, transferTime(reader, s, r.ask.promptTokens) + writerWait(s, r) + ahead + last);
@@ -581,13 +588,13 @@
     if (now_ <= (r.arrived + r.aimAt) / 2) return false;
     return finish(r), true;
   }
+
   // Load shedding: a prompt is read only when some writer can take it soon. Traffic beyond its tenant's
   // share gives way earlier.
   bool roomAhead(const Request& r) const {
     const double most = kWriterShare * shortestAim_ * (r.overShare ? kOverShareRoom : 1);
     for (const auto& [id, s] : servers_) {
-      if (!s.reads() && s.entry.role != Role::kUnknown && s.serving() && writerWait(s, r) <= most)
-        return true;
+      if (s.writes() && s.serving() && writerWait(s, r) <= most) return true;
     }
     return false;
   }
@@ -657,6 +664,7 @@
   void releaseReader(const Request& r) {
     if (r.stage == Stage::kWriting) servers_[r.reader].sending -= 1;
   }
+
   void onFailure(Request& r, const AttemptEnded& e) {
     if (r.stage == Stage::kStreaming) return finish(r);
     if (runsEffect(r) && !neverRan(e.outcome) && !r.mayHaveRun) {
@@ -691,6 +699,7 @@
     }
     letGo(r);
   }
+
   // Nothing more is sent for it; what is out is called off and what is held is let go.
   void letGo(Request& r) {
     r.answered = true;
@@ -785,6 +794,8 @@
     left -= 1;
     return true;
   }
+
+  // ---- Small things ----
   Server* find(ServerId id) {
     const auto it = servers_.find(id);
     return it == servers_.end() ? nullptr : &it->second;
@@ -809,12 +820,10 @@
   std::set<std::pair<double, RequestId>> queue_;  // requests that wait here, tightest aim first
   std::vector<RequestId> ended_;
   std::unordered_map<std::uint64_t, std::vector<Kept>> kept_;  // never walked in its own order
-  std::map<std::pair<std::uint32_t, int>, Learned>
-      links_;  // a token's move, by the reader's cell and link kind
-  std::array<double, 4> sent_{}, rates_{},
-      taken_{};  // by role: sends since the last sweep, a second, see there
-  Learned gap_;  // between requests
-  std::vector<std::pair<double, double>> buckets_;  // for each tenant: requests in hand, and when
+  std::map<std::pair<std::uint32_t, int>, Learned> links_;  // a token's move, by reader's cell and link kind
+  std::array<double, 4> sent_{}, rates_{}, taken_{};        // by role, see updateTaken
+  Learned gap_;                                             // between requests
+  std::vector<std::pair<double, double>> buckets_;          // for each tenant: requests in hand, and when
   Learned meanPrompt_;
   Learned usual_[2];  // time that reads, and writers' first tokens, took lately
   double readPrior_ = kReadPrior, waitPrior_ = kWaitPrior;
