--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -35,6 +35,8 @@
 constexpr double kFarBias = 0.02;                    // prices of leaving the cell or the zone, as time
 constexpr double kKeepFor = 120;                     // ageing of the prefix table
 constexpr std::size_t kMostKept = 50000;             // its entries before old ones are dropped
+constexpr double kHomePrior = 0.5;                   // share of a prompt that its session's home keeps
+constexpr double kNearHome = 3;                      // odds that a home lies in our zone, a server
 constexpr double kMemoryPrior = 2e5;                 // tokens, of a server that does not tell its memory
 constexpr double kLastResort = 100;                  // cost of having a pure writer read
 constexpr int kMostHeldTried = 16;      // requests that may stay before a pass over our queue ends
@@ -46,16 +48,16 @@
 constexpr double kTimeoutFactor = 3;    // a time-out against the time expected of the work
 constexpr double kSilentShare = 0.35;   // ... and, at least, against the request's aim
 constexpr double kTryShare = 0.6;      // of the time left that one attempt may take while others could follow
-constexpr double kEjectAt = 0.5;       // failure level that ejects a server
-constexpr double kFailureStep = 0.34;  // what one outcome moves it
-constexpr double kEjectFirst = 1;      // ejection time, doubled at each further one ...
-constexpr double kEjectMost = 8;       // ... up to this
-constexpr double kFullPause = 0.15;    // a server that refused for a full queue is passed over for this
+constexpr double kEjectAt = 0.5;       // illness from which a server is passed over
+constexpr double kFailureStep = 0.34;  // what a failure adds to it; silence and lost contact add twice that
+constexpr double kMostIll = 1.4;       // the most that it can be
+constexpr double kHealing = 0.6;       // share of it that a success leaves
 constexpr double kColdUnknown = 2;     // requests a window, of all nodes, that a cold server bears surely
 constexpr double kColdMemory = 60;     // how long the most that servers took is remembered
 constexpr double kColdSafety = 0.6;    // share of the cold budget that is used
 constexpr double kProbeOften = 0.4;    // a server is probed no more often than this
 constexpr double kProbeBudget = 0.004;  // result that probing may cost
+constexpr double kMostProbes = 4;       // probes that may be saved up
 constexpr char kAskTimer[] = "ask";
 constexpr double kAskAgain = 0.7;  // pause after a failed discovery call
 
@@ -82,19 +84,29 @@
   double value_ = 0, weight_ = 0, at_ = 0;
 };
 
+// How ill a server looks: failures add to it, successes and time take from it.
+class Illness {
+ public:
+  double get(double now) const { return level_ * std::exp((at_ - now) / kForget); }
+  void add(double step, double now) { set(std::min(kMostIll, get(now) + step), now); }
+  void heal(double now) { set(get(now) * kHealing, now); }
+
+ private:
+  void set(double level, double now) { level_ = level, at_ = now; }
+  double level_ = 0, at_ = 0;
+};
+
 // What is known of a server's process; a restart wipes it.
 struct Process {
   LoadReport report;
   double reportAt = -1e9, score = 0.5;
   Learned readCost{kForget}, wait{kScoreWindow};
-  Learned trust{kForget};                 // share of the credited prompt tokens found kept
   double readVolume = 0;                  // prompt tokens that it has read anew for us
   double recentTokens = 0, recentAt = 0;  // sent to it lately, fading: not in its reports yet
   double overdue = 0;                     // how far its oldest unanswered attempt is past what was expected
   double answeredAt = -1e9;               // when it last finished a read or began an answer
-  double failures = 0, ejectedUntil = -1e9, fullUntil = -1e9;
-  int strikes = 0;
-  bool trial = false, lostContact = false;
+  Illness contact;                        // connections that failed or broke
+  std::map<int, Illness> illness;         // by class (from 0) and tenant (below 0)
 };
 
 struct Server : Process {
@@ -102,7 +114,8 @@
   int generation = 0;  // counts restarts: what an earlier process kept is gone
   int reading = 0, waiting = 0, streaming = 0, sending = 0;  // our own record of work out
   double queuedTokens = 0, heldTokens = 0;                   // prompt tokens to read; states and streams
-  double coldSince = -1e9, nextProbe = 0;
+  double coldSince = -1e9, coldFrom = -1e9, coldPhase = 0;  // since when it is cold, and known to us to be
+  double nextProbe = 0;
   std::deque<std::pair<double, double>> coldSends;  // time and weight of the sends of a warming time
 
   bool serving() const { return entry.state == ServerEntry::State::kServing; }
@@ -124,6 +137,7 @@
   bool out = false, whole = false, calledOff = false;  // an attempt is out, reads and writes, was cancelled
   ServerId server, reader;                             // of the last attempt; where the state waits
   double sentAt = 0, expected = 0, heldSince = 0, credit = 0;
+  bool atHome = false;  // its credit stands on the session's home, not on our own record
   double readTokens = 0, planTokens = 1, need = 0;  // to read; in the estimate; of a writer's memory
   bool mayHaveRun = false;  // some attempt may have had its effect; the first was sent then and there
   double firstRunAt = 0;
@@ -134,7 +148,18 @@
 struct Kept {
   ServerId server;
   int generation;
-  double tokens, at, volume;
+  double tokens, at, volume, pooled;
+};
+
+struct Homes {
+  const Server *first = nullptr, *second = nullptr;
+};
+
+// Our own record of a role, a server on average.
+struct Pool {
+  double servers = 0;
+  double queued = 0, held = 0, volume = 0;    // tokens to read and of states and streams; read anew so far
+  double served = 0, rate = 0, most = 0;      // weights served: since the last look, a second, the most lately
 };
 
 }  // namespace
@@ -179,7 +204,11 @@
       ++s.generation;
       static_cast<Process&>(s) = Process{};
     }
-    if (restarted) s.coldSince = std::max(s.coldSince, entry.startedAt->time_since_epoch().count());
+    if (restarted) {
+      s.coldSince = std::max(s.coldSince, entry.startedAt->time_since_epoch().count());
+      s.coldFrom = now_;
+      s.coldPhase = draw();
+    }
     s.entry = entry;
   }
 
@@ -192,9 +221,9 @@
     r.aimAt = std::min(r.deadline, now_ + sec(c.aim) + sec(c.aimPerToken) * ask.promptTokens);
     r.need = ask.promptTokens + expectedOutput(r);
     r.overShare = !withinShare(ask);
-    if (lastArrival_ > 0) gap_.add(now_ - lastArrival_, now_);
-    lastArrival_ = now_;
     meanPrompt_.add(ask.promptTokens, now_);
+    if (set_.probePrice > 0) probes_ = std::min(kMostProbes, probes_ + kProbeBudget / set_.probePrice);
+    if (now_ + margin() >= r.deadline) return finish(r);  // too late for anything but an answer
     enqueue(r);
   }
 
@@ -233,14 +262,15 @@
     (r.stage == Stage::kReading ? s.reading : s.waiting) -= 1;
     s.streaming += 1;
     r.stage = Stage::kStreaming;
-    recovered(s);
+    served(s, r);
+    recovered(s, r);
   }
 
   void on(const ProbeEnded& e) {
     learnReport(e.server, e.load);
     Server* s = find(e.server);
     // A probe that waits too long may only stand in a queue; one that cannot connect is a sign of illness.
-    if (s != nullptr && e.outcome == Outcome::kConnectFailed) blame(*s, e.outcome);
+    if (s != nullptr && e.outcome == Outcome::kConnectFailed) s->contact.add(2 * kFailureStep, now_);
   }
 
   void on(const HoldAnswered&) {}  // places are not held ahead: the writer is picked after the read
@@ -255,8 +285,8 @@
   void sweep() {
     act(SetTimer{Instant(Duration(now_ + kSweep)), "sweep"});
     watchRequests();
+    updatePools();
     updateScores();
-    updateTaken();
     drainQueue();
     probeServers();
     std::erase_if(servers_, [](const auto& e) {
@@ -271,11 +301,10 @@
   // stall or a cut link: a server whose work is out for longer than expected is avoided early, and its
   // attempts are called off while others could follow. A burst of long prompts may trip it briefly.
   void watchRequests() {
-    const double margin = kSweep + 2 * sec(set_.tick) + 0.002;
     for (auto& [id, s] : servers_) s.overdue = 0;
     for (auto& [id, r] : requests_) {
       if (r.answered || r.stage == Stage::kStreaming) continue;
-      if (now_ + margin >= r.deadline) {
+      if (now_ + margin() >= r.deadline) {
         finish(r);
       } else if (r.stage == Stage::kHolding) {
         pickWriterOrHold(r);
@@ -289,6 +318,8 @@
     }
   }
 
+  double margin() const { return kSweep + 2 * sec(set_.tick) + 0.002; }
+
   // How long an attempt may take before its server counts as silent; in a jam all of them take long.
   double patience(const Request& r) const {
     const double usual = std::max(r.expected, usual_[r.stage == Stage::kWriting].get(now_, 0));
@@ -318,20 +349,22 @@
     }
   }
 
-  // Probes serve the load reports. Their rate keeps what they cost under a fixed part of the result.
+  // Probes serve the load reports. What they may cost is saved up by the request: first come the writers that
+  // a read in hand would go to, what is left looks round.
   void probeServers() {
-    if (!set_.probesAllowed || set_.reporting == Reporting::kNone) return;
-    double writers = 0;
-    for (const auto& [id, s] : servers_) writers += s.serving() && !s.reads();
-    const double each = writers * set_.probePrice / kProbeBudget * gap_.get(now_, 1);
-    const double interval = std::clamp(each, kProbeOften, kReportFresh);
     for (auto& [id, s] : servers_) {
-      if (!s.serving() || s.reads() || now_ < s.nextProbe) continue;
-      s.nextProbe = now_ + interval;
-      act(Probe{id});
+      if (probes_ >= kMostProbes / 2) probe(s);
     }
   }
 
+  void probe(Server& s) {
+    if (!set_.probesAllowed || set_.reporting == Reporting::kNone || !s.serving() || s.reads()) return;
+    if (now_ < s.nextProbe || (set_.probePrice > 0 && probes_ < 1)) return;
+    if (set_.probePrice > 0) probes_ -= 1;
+    s.nextProbe = now_ + kProbeOften;
+    act(Probe{s.entry.id});
+  }
+
   // ---- The load score ----
   // Equal weights over the indicators at hand, each brought to 0..1 and smoothed; an indicator that a server
   // has not told counts as the average of its role.
@@ -366,6 +399,7 @@
     }
     readPrior_ = median(Role::kPrefill, &Server::readCost, kReadPrior);
     waitPrior_ = median(Role::kDecode, &Server::wait, kWaitPrior);
+    queuePrior_ = median(Role::kPrefill, &Server::wait, 0);
   }
 
   double median(Role role, Learned Server::*figure, double otherwise) const {
@@ -390,19 +424,28 @@
   }
 
   double readTime(const Server& s, double tokens) const {
-    const double queued = s.queuedTokens * set_.nodes;
-    return readRate(s) * (queued + tokens + kReadFloorTokens);
+    const double weight = ownWeight(pool(s).queued), all = s.queuedTokens * (1 + (set_.nodes - 1) * weight);
+    return readRate(s) * (all + tokens + kReadFloorTokens) + (1 - weight) * s.wait.get(now_, queuePrior_);
+  }
+
+  // What all nodes have at a server, from our own part of it. The less of it there is, the less it tells, and
+  // the more counts what we have at its peers (a Poisson count with a gamma prior round their mean).
+  double ofAllNodes(double own, double mean) const {
+    const double weight = ownWeight(mean);
+    return own + (set_.nodes - 1) * (weight * own + (1 - weight) * mean);
   }
+  double ownWeight(double mean) const { return mean / (mean + meanPrompt_.get(now_, 1000)); }
 
-  double ill(const Server& s) const { return s.failures + std::max(0.0, s.overdue); }
+  const Pool& pool(const Server& s) const { return pools_[static_cast<std::size_t>(s.entry.role)]; }
+
+  double ill(const Server& s, const Request& r) const { return illness(s, r) + std::max(0.0, s.overdue); }
 
   static int linkKind(const Server& from, const Server& to) {
     if (from.entry.zone != to.entry.zone) return 2;
     return from.entry.cell == to.entry.cell ? 0 : 1;
   }
 
-  double transferTime(const Server& from, const Server& to, double tokens) const {
-    const int kind = linkKind(from, to);
+  double transferTime(const Server& from, int kind, double tokens) const {
     const auto it = links_.find({from.entry.cell, kind});
     const double rate = it == links_.end() ? kLinkPrior[kind] : it->second.get(now_, kLinkPrior[kind]);
     return rate * tokens + kFarBias * kind;
@@ -411,8 +454,10 @@
   // Share of a writer's memory that is held: as reported and sent since, else our own times the nodes.
   double filled(const Server& s) const {
     const LoadReport told = fresh(s) ? s.report : LoadReport{};
+    const double all = ofAllNodes(s.heldTokens, pool(s).held);
     const double recent = s.recentTokens * std::exp((s.recentAt - now_) / kRecent) * set_.nodes / 2;
-    const double since = (told.memoryShare ? recent : s.heldTokens * set_.nodes) / s.room();
+    const double since =
+        (told.memoryShare ? std::min(recent, all) : all) / s.room();
     return std::max(
         {told.memoryShare.value_or(0) + since, s.heldTokens / s.room(), told.busyShare.value_or(0)});
   }
@@ -421,8 +466,8 @@
   double writerWait(const Server& s, const Request& r) const {
     const double after = filled(s) + r.need / s.room();
     const bool queues = fresh(s) && s.report.queued.value_or(0) >= 1;
-    double wait = s.wait.get(now_, waitPrior_) * (0.5 + s.score) + ill(s);
-    if (after > kNearlyFull || queues || now_ < s.fullUntil) wait += kYieldShare * shortestAim_;
+    double wait = s.wait.get(now_, waitPrior_) * (0.5 + s.score) + ill(s, r);
+    if (after > kNearlyFull || queues) wait += kYieldShare * shortestAim_;
     return wait + 3 * std::max(0.0, after - kNearlyFull);
   }
 
@@ -433,20 +478,50 @@
   }
 
   // ---- The prefix table ----
-  double credit(const Server& s, const Request& r) const {
-    const double most =
-        std::max(keptAt(r.ask.session, s), std::min(keptAt(r.ask.prefix, s), r.ask.prefixTokens));
-    return std::min(most, r.ask.promptTokens) * std::min(1.0, s.trust.get(now_, 1));
+  // What the server is taken to keep of a prompt: by our own record, or as the home of its session. With many
+  // nodes a session's turns come to different ones; its home is where all of them send what they know nothing
+  // of. How much homes turn out to keep is learned.
+  struct Credit {
+    double tokens = 0;
+    bool atHome = false;
+  };
+  Credit credit(const Server& s, const Request& r, const Homes& homes) const {
+    const double own =
+        std::max(keptAt(r.ask.session, s), std::min(keptAt(r.ask.prefix, s), r.ask.prefixTokens)) *
+        std::min(1.0, trust_[0].get(now_, 1));
+    const double rank = &s == homes.first ? 1 : &s == homes.second ? 0.5 : 0;
+    const double home = rank * r.ask.promptTokens * trust_[1].get(now_, kHomePrior);
+    return {std::min(r.ask.promptTokens, std::max(own, home)), home > own};
+  }
+
+  // The home of a session, and the next in line: rendezvous hashing over the readers, alike on all nodes of a
+  // zone, with better odds for those near.
+  Homes homesOf(const Request& r) const {
+    Homes homes;
+    double first = 1e18, second = 1e18;
+    for (const auto& [id, s] : servers_) {
+      if (!s.serving() || s.entry.role == Role::kDecode || r.ask.session == 0) continue;
+      const double u = static_cast<double>((mixed(r.ask.session, id) >> 11) + 1) * 0x1.0p-53;
+      const double place = -std::log(u) / (s.entry.zone == set_.zone ? kNearHome : 1);
+      if (place < first) {
+        second = std::exchange(first, place);
+        homes.second = std::exchange(homes.first, &s);
+      } else if (place < second) {
+        second = place;
+        homes.second = &s;
+      }
+    }
+    return homes;
   }
 
-  // Tokens of a text that a server still keeps. They age by what it has read since, by our record as if every
-  // node sent as much: new text pushes old text out of its memory.
+  // Tokens of a text that a server still keeps. They age by what it has read since for all nodes: new text
+  // pushes old text out of its memory.
   double keptAt(std::uint64_t key, const Server& s) const {
     const auto it = key == 0 ? kept_.end() : kept_.find(key);
     if (it == kept_.end()) return 0;
     for (const Kept& k : it->second) {
       if (k.server != s.entry.id || k.generation != s.generation) continue;
-      const double pushed = (s.readVolume - k.volume) * set_.nodes / s.room();
+      const double pushed = ofAllNodes(s.readVolume - k.volume, pool(s).volume - k.pooled) / s.room();
       return k.tokens * std::exp((k.at - now_) / kKeepFor - pushed * pushed);
     }
     return 0;
@@ -456,7 +531,7 @@
     if (key == 0 || tokens <= 0) return;
     std::vector<Kept>& list = kept_[key];
     std::erase_if(list, [&](const Kept& k) { return k.server == s.entry.id || k.at < now_ - kKeepFor; });
-    list.push_back({s.entry.id, s.generation, tokens, now_, s.readVolume});
+    list.push_back({s.entry.id, s.generation, tokens, now_, s.readVolume, pool(s).volume});
   }
 
   // ---- Who may be sent what ----
@@ -464,37 +539,50 @@
   bool mayTake(const Server& s, const Request& r, bool strict) const {
     if (!s.serving() || !withinColdBudget(s, r)) return false;
     if (!strict) return true;
-    if (now_ < s.ejectedUntil || (s.trial && s.unanswered() > 0) || now_ < s.fullUntil) return false;
+    const double level = illness(s, r);
+    if (level >= kEjectAt || (level >= kEjectAt / 2 && s.unanswered() > 0)) return false;
     return std::find(r.failedOn.begin(), r.failedOn.end(), s.entry.id) == r.failedOn.end();
   }
 
   // A cold server gets no more than this node's part of what it can do, in any window; where that is less
-  // than one request, one in a longer time. The most that the role's servers took from us on average stands
+  // than one request, one in a longer time, and the first after a part of that time by lot: nodes that hear
+  // of it together must not all greet it. The most that the role's servers served for us on average stands
   // for a warm one. Servers back from lost contact count as cold: they may be new.
   bool withinColdBudget(const Server& s, const Request& r) const {
     const double age = std::max(0.0, now_ - s.coldSince), warm = sec(set_.coldWarmAfter);
     if (age >= warm) return true;
     const double able = set_.coldStartCapacity + (1 - set_.coldStartCapacity) / 2 * age / warm;
-    const double taken = taken_[static_cast<std::size_t>(s.entry.role)] * sec(set_.coldWindow);
-    const double part = kColdSafety * set_.coldOverloadFactor * able * taken;
+    const double part = kColdSafety * set_.coldOverloadFactor * able * pool(s).most * sec(set_.coldWindow);
     const double budget = std::max(part, std::min(1.0, kColdUnknown / set_.nodes)), weight = sendWeight(r);
     const double span = sec(set_.coldWindow) * std::max(1.0, weight / budget);
+    if (budget < weight && now_ - s.coldFrom < s.coldPhase * span) return false;
     double spent = 0;
     for (const auto& [at, sent] : s.coldSends) spent += at > now_ - span ? sent : 0;
     return spent + weight <= std::max(budget, weight);
   }
 
-  // What each server of a role takes from us on average, in weights a second: the most seen lately.
-  void updateTaken() {
-    for (std::size_t role = 0; role < taken_.size(); ++role) {
-      double servers = 0;
-      for (const auto& [id, s] : servers_) servers += s.entry.role == static_cast<Role>(role) && s.serving();
-      rates_[role] += (std::exchange(sent_[role], 0) - rates_[role] * kSweep) / kForget;
-      taken_[role] =
-          std::max(rates_[role] / std::max(1.0, servers), taken_[role] * (1 - kSweep / kColdMemory));
+  void updatePools() {
+    std::array<Pool, 4> now{};
+    for (const auto& [id, s] : servers_) {
+      Pool& p = now[static_cast<std::size_t>(s.entry.role)];
+      p.servers += s.serving();
+      p.queued += s.queuedTokens;
+      p.held += s.heldTokens;
+    }
+    for (std::size_t role = 0; role < pools_.size(); ++role) {
+      Pool& p = pools_[role];
+      p.servers = std::max(1.0, now[role].servers);
+      p.queued += (now[role].queued / p.servers - p.queued) * kSweep / kForget;
+      p.held += (now[role].held / p.servers - p.held) * kSweep / kForget;
+      p.rate += (std::exchange(p.served, 0) / p.servers - p.rate * kSweep) / kForget;
+      p.most = std::max(p.rate, p.most * (1 - kSweep / kColdMemory));
     }
   }
 
+  void served(const Server& s, const Request& r) {
+    pools_[static_cast<std::size_t>(s.entry.role)].served += sendWeight(r);
+  }
+
   double sendWeight(const Request& r) const {
     return std::max(1.0, r.ask.promptTokens / std::max(1.0, meanPrompt_.get(now_, 1000)));
   }
@@ -522,6 +610,7 @@
     Server* server = nullptr;
     double cost = 1e18, time = 0;
     bool whole = false;
+    Credit kept;
 
     bool offer(const Request& r, Server& s, double price) {
       if (price > cost || (price == cost && tie(r, s) >= tie(r, *server))) return false;
@@ -536,20 +625,51 @@
   // do so only when nothing else is left.
   Plan planRead(const Request& r, bool strict) {
     Plan best;
+    const Onward onward = planOnward(r);
+    const Homes homes = homesOf(r);
     for (auto& [id, s] : servers_) {
       const bool whole = !s.reads();
       if ((whole && !readsWhole(s)) || !mayRunOn(r, s) || !mayTake(s, r, strict)) continue;
-      const double fresh = r.ask.promptTokens - credit(s, r);
+      const Credit kept = credit(s, r, homes);
+      const double fresh = r.ask.promptTokens - kept.tokens;
       const double time = readTime(s, fresh);
-      double cost = time + kMissWeight * readRate(s) * fresh + kScoreTime * s.score + ill(s) +
+      double cost = time + kMissWeight * readRate(s) * fresh + kScoreTime * s.score + ill(s, r) +
                     (s.entry.zone == set_.zone ? 0 : kFarBias);
-      cost += whole ? writerWait(s, r) : std::min(shortestAim_, planWrite(r, s, true).cost);
+      cost += whole ? writerWait(s, r) : std::min(shortestAim_, onwardFrom(s, r, onward));
       if (s.entry.role == Role::kDecode) cost += kLastResort;
-      if (best.offer(r, s, cost)) best.time = time, best.whole = whole;
+      if (best.offer(r, s, cost)) best.time = time, best.whole = whole, best.kept = kept;
     }
     return best;
   }
 
+  // The least writer's cost, its transfer left out, in each cell and zone and anywhere: so that ranking the
+  // readers takes one pass over them and one over the writers.
+  struct Onward {
+    std::map<std::uint32_t, double> cell, zone;
+    double any = 1e18;
+  };
+  Onward planOnward(const Request& r) const {
+    Onward least;
+    for (const auto& [id, s] : servers_) {
+      if (!s.writes() || !mayTake(s, r, true) || !mayRunOn(r, s)) continue;
+      const double cost = writerCost(s, r);
+      for (auto* of : {&least.cell.try_emplace(s.entry.cell, 1e18).first->second,
+                       &least.zone.try_emplace(s.entry.zone, 1e18).first->second, &least.any})
+        *of = std::min(*of, cost);
+    }
+    return least;
+  }
+
+  double onwardFrom(const Server& s, const Request& r, const Onward& least) const {
+    const auto in = [](const auto& costs, std::uint32_t key) {
+      const auto it = costs.find(key);
+      return it == costs.end() ? 1e18 : it->second;
+    };
+    return std::min({in(least.cell, s.entry.cell) + transferTime(s, 0, r.ask.promptTokens),
+                     in(least.zone, s.entry.zone) + transferTime(s, 1, r.ask.promptTokens),
+                     least.any + transferTime(s, 2, r.ask.promptTokens)});
+  }
+
   bool readsWhole(const Server& s) const {
     return s.entry.role == Role::kMixed || (s.entry.role == Role::kDecode && set_.decodeMayPrefill);
   }
@@ -559,17 +679,26 @@
     Plan best;
     for (auto& [id, s] : servers_) {
       if (!s.writes() || !mayTake(s, r, strict) || !mayRunOn(r, s)) continue;
-      const double ahead = s.waiting * s.wait.get(now_, waitPrior_);  // our own that wait there already
-      const double last = s.entry.role == Role::kMixed ? kLastResort : 0;
-      best.offer(r, s, transferTime(reader, s, r.ask.promptTokens) + writerWait(s, r) + ahead + last);
+      best.offer(r, s, transferTime(reader, linkKind(reader, s), r.ask.promptTokens) + writerCost(s, r));
     }
     return best;
   }
 
-  // Order among equals: the same shared prefix leads every node to the same server.
+  double writerCost(const Server& s, const Request& r) const {
+    const double ahead = s.waiting * s.wait.get(now_, waitPrior_);  // our own that wait there already
+    return writerWait(s, r) + ahead + (s.entry.role == Role::kMixed ? kLastResort : 0);
+  }
+
+  // Order among equals: the same shared prefix leads every node to the same reader; writers spread by session.
   static std::uint64_t tie(const Request& r, const Server& s) {
-    const std::uint64_t key = r.ask.prefix != 0 ? r.ask.prefix : r.ask.session;
-    return ((key ^ s.entry.id.value) * 0x9e3779b97f4a7c15ULL) >> 20;
+    return mixed(r.ask.prefix != 0 && s.reads() ? r.ask.prefix : r.ask.session, s.entry.id);
+  }
+
+  static std::uint64_t mixed(std::uint64_t key, ServerId id) {
+    std::uint64_t x = key ^ (id.value * 0x9e3779b97f4a7c15ULL);
+    x = (x ^ (x >> 30)) * 0xbf58476d1ce4e5b9ULL;
+    x = (x ^ (x >> 27)) * 0x94d049bb133111ebULL;
+    return x ^ (x >> 31);
   }
 
   // ---- A request's life ----
@@ -601,7 +730,8 @@
 
   void sendRead(Request& r, const Plan& plan) {
     Server& s = *plan.server;
-    r.credit = credit(s, r);
+    r.credit = plan.kept.tokens;
+    r.atHome = plan.kept.atHome;
     r.readTokens = r.ask.promptTokens - r.credit + kReadFloorTokens;
     r.whole = plan.whole;
     s.queuedTokens += r.readTokens;
@@ -610,6 +740,8 @@
     r.stage = Stage::kReading;
     r.planTokens = plan.time / readRate(s);
     send(r, s, plan.time + (plan.whole ? s.wait.get(now_, waitPrior_) : 0));
+    if (plan.whole) return;
+    if (Server* const writer = planWrite(r, s, true).server) probe(*writer);  // told of by the end of the read
   }
 
   void pickWriterOrHold(Request& r) {
@@ -622,7 +754,7 @@
       r.whole = false;
       s->waiting += 1;
       reader->sending += 1;
-      return send(r, *s, transferTime(*reader, *s, r.ask.promptTokens) + s->wait.get(now_, waitPrior_));
+      return send(r, *s, transferTime(*reader, linkKind(*reader, *s), r.ask.promptTokens) + s->wait.get(now_, waitPrior_));
     }
     // Nothing may stay pinned: a state that no writer can take is let go well before the limit.
     if (sec(set_.pinLimit) > 0 && now_ - r.heldSince > 0.6 * sec(set_.pinLimit) - 2 * kSweep) finish(r);
@@ -640,7 +772,6 @@
       s.recentTokens = s.recentTokens * std::exp((s.recentAt - now_) / kRecent) + r.need;
       s.recentAt = now_;
     }
-    sent_[static_cast<std::size_t>(s.entry.role)] += sendWeight(r);
     s.coldSends.emplace_back(now_, sendWeight(r));
     while (s.coldSends.front().first < now_ - sec(set_.coldWarmAfter)) s.coldSends.pop_front();
     // Where attempts can be called off, silence ends them; the time-out only leaves room for another try.
@@ -723,16 +854,21 @@
     if (read) {
       usual_[0].add(sec(e.elapsed), now_);
       s->readCost.add(sec(e.elapsed) / r.planTokens, now_);
+      if (s->reads())
+        s->wait.add(std::max(0.0, sec(e.elapsed) - readRate(*s) * (r.readTokens + kReadFloorTokens)), now_);
+      served(*s, r);
       s->readVolume += r.ask.promptTokens - e.keptTokens;
-      if (r.credit > 0) s->trust.add(std::min(1.0, e.keptTokens / r.credit), now_);
+      if (r.atHome) trust_[1].add(std::min(1.0, e.keptTokens / std::max(1.0, r.ask.promptTokens)), now_);
+      if (r.credit > 0 && !r.atHome) trust_[0].add(std::min(1.0, e.keptTokens / r.credit), now_);
+      pools_[static_cast<std::size_t>(s->entry.role)].volume +=
+          (r.ask.promptTokens - e.keptTokens) / std::max(1.0, pool(*s).servers);
       keep(r.ask.session, *s, r.ask.promptTokens);
       keep(r.ask.prefix, *s, r.ask.prefixTokens);
     }
-    if (read || e.outcome == Outcome::kOk) return recovered(*s);
-    if (e.outcome == Outcome::kRejected) s->fullUntil = now_ + kFullPause;
-    if (r.calledOff) return blame(*s, Outcome::kTimeout);
-    if (!neverRan(e.outcome) && e.outcome != Outcome::kCancelled) blame(*s, e.outcome);
-    if (e.outcome == Outcome::kConnectFailed) blame(*s, e.outcome);
+    if (read || e.outcome == Outcome::kOk) return recovered(*s, r);
+    if (r.calledOff) return blame(*s, r, Outcome::kTimeout);
+    const bool ours = e.outcome == Outcome::kCancelled || e.outcome == Outcome::kNotSent;
+    if (!ours && e.outcome != Outcome::kStateLost) blame(*s, r, e.outcome);
   }
 
   static bool neverRan(Outcome outcome) {
@@ -746,40 +882,53 @@
     if (r.stage == Stage::kReading || reader == nullptr) return;
     const int kind = linkKind(*reader, s);
     if (kind == 0)
-      return s.wait.add(std::max(0.002, took - transferTime(*reader, s, r.ask.promptTokens)), now_);
+      return s.wait.add(std::max(0.002, took - transferTime(*reader, kind, r.ask.promptTokens)), now_);
     const double moved = std::max(0.0, took - s.wait.get(now_, waitPrior_)) / (r.ask.promptTokens + 1);
     links_[{reader->entry.cell, kind}].add(moved, now_);
   }
 
   // ---- Health ----
-  // Outlier ejection from symptoms: errors, lost connections and time-outs. Time-outs do not eject when half
-  // of the role is out already: then the cause may be a link or the load.
-  void blame(Server& s, Outcome outcome) {
+  // Outlier ejection from symptoms: errors, refusals, silence and lost contact. A server may be ill for one
+  // class or one tenant only, so each has its record, and the healthier of a request's two counts: neither do
+  // the others' successes hide such an illness, nor does it cost them the server. Silence ejects nobody when
+  // half of the role is out already: then the cause may be a link or the load.
+  double illness(const Server& s, const Request& r) const {
+    double least = 1e9;
+    for (const int part : parts(r)) {
+      const auto it = s.illness.find(part);
+      least = std::min(least, it == s.illness.end() ? 0 : it->second.get(now_));
+    }
+    return std::max(least, s.contact.get(now_));
+  }
+
+  static std::vector<int> parts(const Request& r) {
+    std::vector<int> parts{static_cast<int>(r.ask.classIndex)};
+    if (r.ask.tenant) parts.push_back(-1 - static_cast<int>(*r.ask.tenant));
+    return parts;
+  }
+
+  void blame(Server& s, const Request& r, Outcome outcome) {
     const bool contact = outcome == Outcome::kConnectFailed || outcome == Outcome::kReset;
-    s.lostContact |= contact || outcome == Outcome::kTimeout;
-    s.failures += (contact ? 2 : 1) * kFailureStep * (1 - std::min(1.0, s.failures));
-    if (now_ < s.ejectedUntil || (s.failures < kEjectAt && !s.trial)) return;
-    if (outcome == Outcome::kTimeout && tooManyOut(s.entry.role)) return;
-    s.ejectedUntil = now_ + std::min(kEjectMost, kEjectFirst * std::pow(2, s.strikes++));
-    s.trial = true;
+    if (contact) return s.contact.add(2 * kFailureStep, now_);
+    const bool silent = outcome == Outcome::kTimeout;
+    if (silent && tooManyOut(s.entry.role, r)) return;
+    for (const int part : parts(r)) s.illness[part].add((silent ? 2 : 1) * kFailureStep, now_);
   }
 
-  bool tooManyOut(Role role) const {
+  bool tooManyOut(Role role, const Request& r) const {
     int ejected = 1, all = 0;
     for (const auto& [id, s] : servers_) {
       all += s.entry.role == role && s.serving();
-      ejected += s.entry.role == role && s.serving() && now_ < s.ejectedUntil;
+      ejected += s.entry.role == role && s.serving() && illness(s, r) >= kEjectAt;
     }
     return 2 * ejected > all;
   }
 
-  void recovered(Server& s) {
+  void recovered(Server& s, const Request& r) {
     s.answeredAt = now_;
-    s.failures *= 1 - kFailureStep;
-    if (s.failures < kFailureStep / 4) s.strikes = 0;
-    if (now_ < s.ejectedUntil || !s.trial) return;
-    s.trial = false;
-    if (std::exchange(s.lostContact, false)) s.coldSince = std::max(s.coldSince, now_);  // slow start
+    for (const int part : parts(r)) s.illness[part].heal(now_);
+    if (s.contact.get(now_) > kFailureStep / 2) s.coldSince = std::max(s.coldSince, now_);  // slow start
+    s.contact = {};
   }
 
   // ---- Fair shares ----
@@ -811,7 +960,7 @@
 
   Settings set_;
   std::uint64_t random_;
-  double now_ = 0, scoredAt_ = 0, lastArrival_ = 0;
+  double now_ = 0, scoredAt_ = 0;
   double shortestAim_ = 1e9;
   bool started_ = false;
   std::vector<Action>* out_ = nullptr;
@@ -821,12 +970,13 @@
   std::vector<RequestId> ended_;
   std::unordered_map<std::uint64_t, std::vector<Kept>> kept_;  // never walked in its own order
   std::map<std::pair<std::uint32_t, int>, Learned> links_;  // a token's move, by reader's cell and link kind
-  std::array<double, 4> sent_{}, rates_{}, taken_{};        // by role, see updateTaken
-  Learned gap_;                                             // between requests
+  std::array<Pool, 4> pools_;                               // by role
+  Learned trust_[2];   // share of the credit found kept: by our own record, of the prompt at homes
+  double probes_ = 1;  // that may be sent now
   std::vector<std::pair<double, double>> buckets_;          // for each tenant: requests in hand, and when
   Learned meanPrompt_;
   Learned usual_[2];  // time that reads, and writers' first tokens, took lately
-  double readPrior_ = kReadPrior, waitPrior_ = kWaitPrior;
+  double readPrior_ = kReadPrior, waitPrior_ = kWaitPrior, queuePrior_ = 0;
 };
 
 Policy::Policy(Settings settings) : impl_(std::make_unique<Impl>(std::move(settings))) {}
