--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -28,6 +28,7 @@
 constexpr double kReadFloorTokens = 300;  // a read's fixed cost, as tokens
 constexpr double kOutlier = 1.7;          // a reader this much slower than its peers counts as slow
 constexpr double kQueueShare = 0.15;      // of the shortest aim that a reader's queue may take
+constexpr double kReadsSeen = 4;          // how long the queueing of a read tells of the readers
 constexpr double kScoreTime = 0.1;        // what a reader's load score of 1 weighs
 constexpr double kMissWeight = 1;         // what reading a token anew costs those who come after
 constexpr double kWaitPrior = 0.05;       // a writer's wait before the first token
@@ -399,7 +400,10 @@
     }
     readPrior_ = median(Role::kPrefill, &Server::readCost, kReadPrior);
     waitPrior_ = median(Role::kDecode, &Server::wait, kWaitPrior);
-    queuePrior_ = median(Role::kPrefill, &Server::wait, 0);
+    while (!waits_.empty() && waits_.front().first < now_ - kReadsSeen) waits_.pop_front();
+    std::vector<double> waits;
+    for (const auto& [at, wait] : waits_) waits.push_back(wait);
+    queuePrior_ = middle(waits, 0);
   }
 
   double median(Role role, Learned Server::*figure, double otherwise) const {
@@ -408,6 +412,10 @@
       if ((s.entry.role == role || s.entry.role == Role::kMixed) && s.serving() && (s.*figure).known(now_))
         values.push_back((s.*figure).get(now_, otherwise));
     }
+    return middle(values, otherwise);
+  }
+
+  static double middle(std::vector<double>& values, double otherwise) {
     if (values.empty()) return otherwise;
     std::nth_element(values.begin(), values.begin() + static_cast<long>(values.size() / 2), values.end());
     return values[values.size() / 2];
@@ -854,8 +862,11 @@
     if (read) {
       usual_[0].add(sec(e.elapsed), now_);
       s->readCost.add(sec(e.elapsed) / r.planTokens, now_);
-      if (s->reads())
-        s->wait.add(std::max(0.0, sec(e.elapsed) - readRate(*s) * (r.readTokens + kReadFloorTokens)), now_);
+      if (s->reads()) {
+        const double waited = sec(e.elapsed) - readRate(*s) * (r.readTokens + kReadFloorTokens);
+        s->wait.add(std::max(0.0, waited), now_);
+        waits_.emplace_back(now_, std::max(0.0, waited));
+      }
       served(*s, r);
       s->readVolume += r.ask.promptTokens - e.keptTokens;
       if (r.atHome) trust_[1].add(std::min(1.0, e.keptTokens / std::max(1.0, r.ask.promptTokens)), now_);
@@ -976,6 +987,7 @@
   std::vector<std::pair<double, double>> buckets_;          // for each tenant: requests in hand, and when
   Learned meanPrompt_;
   Learned usual_[2];  // time that reads, and writers' first tokens, took lately
+  std::deque<std::pair<double, double>> waits_;  // when reads ended lately, and how long they queued
   double readPrior_ = kReadPrior, waitPrior_ = kWaitPrior, queuePrior_ = 0;
 };
 
