--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -28,7 +28,7 @@
 constexpr double kReadFloorTokens = 300;  // a read's fixed cost, as tokens
 constexpr double kOutlier = 1.7;          // a reader this much slower than its peers counts as slow
 constexpr double kQueueShare = 0.15;      // of the shortest aim that a reader's queue may take
-constexpr double kReadsSeen = 4;          // how long the queueing of a read tells of the readers
+constexpr double kWaitsSeen = 4;          // how long a wait tells of the servers of its role
 constexpr double kScoreTime = 0.1;        // what a reader's load score of 1 weighs
 constexpr double kMissWeight = 1;         // what reading a token anew costs those who come after
 constexpr double kWaitPrior = 0.05;       // a writer's wait before the first token
@@ -36,7 +36,7 @@
 constexpr double kFarBias = 0.02;                    // prices of leaving the cell or the zone, as time
 constexpr double kKeepFor = 120;                     // ageing of the prefix table
 constexpr std::size_t kMostKept = 50000;             // its entries before old ones are dropped
-constexpr double kHomePrior = 0.5;                   // share of a prompt that its session's home keeps
+constexpr double kHomeKeeps = 0.75;                  // share of a prompt taken to be kept at its session's home
 constexpr double kNearHome = 3;                      // odds that a home lies in our zone, a server
 constexpr double kMemoryPrior = 2e5;                 // tokens, of a server that does not tell its memory
 constexpr double kLastResort = 100;                  // cost of having a pure writer read
@@ -138,7 +138,6 @@
   bool out = false, whole = false, calledOff = false;  // an attempt is out, reads and writes, was cancelled
   ServerId server, reader;                             // of the last attempt; where the state waits
   double sentAt = 0, expected = 0, heldSince = 0, credit = 0;
-  bool atHome = false;  // its credit stands on the session's home, not on our own record
   double readTokens = 0, planTokens = 1, need = 0;  // to read; in the estimate; of a writer's memory
   bool mayHaveRun = false;  // some attempt may have had its effect; the first was sent then and there
   double firstRunAt = 0;
@@ -398,23 +397,33 @@
       }
       if (terms > 0) s.score += (sum / terms - s.score) * step;
     }
-    readPrior_ = median(Role::kPrefill, &Server::readCost, kReadPrior);
-    waitPrior_ = median(Role::kDecode, &Server::wait, kWaitPrior);
-    while (!waits_.empty() && waits_.front().first < now_ - kReadsSeen) waits_.pop_front();
-    std::vector<double> waits;
-    for (const auto& [at, wait] : waits_) waits.push_back(wait);
-    queuePrior_ = middle(waits, 0);
+    readPrior_ = usualReadCost();
+    waitPrior_ = usualWait(true, kWaitPrior);
+    queuePrior_ = usualWait(false, 0);
   }
 
-  double median(Role role, Learned Server::*figure, double otherwise) const {
+  double usualReadCost() const {
     std::vector<double> values;
     for (const auto& [id, s] : servers_) {
-      if ((s.entry.role == role || s.entry.role == Role::kMixed) && s.serving() && (s.*figure).known(now_))
-        values.push_back((s.*figure).get(now_, otherwise));
+      if (s.serving() && s.readCost.known(now_)) values.push_back(s.readCost.get(now_, kReadPrior));
     }
+    return middle(values, kReadPrior);
+  }
+
+  // The median of all waits of a stage that ended lately: with many nodes no server's own are enough.
+  double usualWait(bool writers, double otherwise) {
+    auto& waits = waits_[writers];
+    while (!waits.empty() && waits.front().first < now_ - kWaitsSeen) waits.pop_front();
+    std::vector<double> values;
+    for (const auto& [at, wait] : waits) values.push_back(wait);
     return middle(values, otherwise);
   }
 
+  void learnWait(Server& s, double wait) {
+    s.wait.add(std::max(0.0, wait), now_);
+    waits_[s.writes()].emplace_back(now_, std::max(0.0, wait));
+  }
+
   static double middle(std::vector<double>& values, double otherwise) {
     if (values.empty()) return otherwise;
     std::nth_element(values.begin(), values.begin() + static_cast<long>(values.size() / 2), values.end());
@@ -488,18 +497,12 @@
   // ---- The prefix table ----
   // What the server is taken to keep of a prompt: by our own record, or as the home of its session. With many
   // nodes a session's turns come to different ones; its home is where all of them send what they know nothing
-  // of. How much homes turn out to keep is learned.
-  struct Credit {
-    double tokens = 0;
-    bool atHome = false;
-  };
-  Credit credit(const Server& s, const Request& r, const Homes& homes) const {
+  // of. That only holds while all do, so it is no learned figure.
+  double credit(const Server& s, const Request& r, const Homes& homes) const {
     const double own =
-        std::max(keptAt(r.ask.session, s), std::min(keptAt(r.ask.prefix, s), r.ask.prefixTokens)) *
-        std::min(1.0, trust_[0].get(now_, 1));
+        std::max(keptAt(r.ask.session, s), std::min(keptAt(r.ask.prefix, s), r.ask.prefixTokens));
     const double rank = &s == homes.first ? 1 : &s == homes.second ? 0.5 : 0;
-    const double home = rank * r.ask.promptTokens * trust_[1].get(now_, kHomePrior);
-    return {std::min(r.ask.promptTokens, std::max(own, home)), home > own};
+    return std::min(r.ask.promptTokens, std::max(own, rank * kHomeKeeps * r.ask.promptTokens));
   }
 
   // The home of a session, and the next in line: rendezvous hashing over the readers, alike on all nodes of a
@@ -616,9 +619,8 @@
   // ---- The picks ----
   struct Plan {
     Server* server = nullptr;
-    double cost = 1e18, time = 0;
+    double cost = 1e18, time = 0, kept = 0;
     bool whole = false;
-    Credit kept;
 
     bool offer(const Request& r, Server& s, double price) {
       if (price > cost || (price == cost && tie(r, s) >= tie(r, *server))) return false;
@@ -638,8 +640,7 @@
     for (auto& [id, s] : servers_) {
       const bool whole = !s.reads();
       if ((whole && !readsWhole(s)) || !mayRunOn(r, s) || !mayTake(s, r, strict)) continue;
-      const Credit kept = credit(s, r, homes);
-      const double fresh = r.ask.promptTokens - kept.tokens;
+      const double kept = credit(s, r, homes), fresh = r.ask.promptTokens - kept;
       const double time = readTime(s, fresh);
       double cost = time + kMissWeight * readRate(s) * fresh + kScoreTime * s.score + ill(s, r) +
                     (s.entry.zone == set_.zone ? 0 : kFarBias);
@@ -738,8 +739,7 @@
 
   void sendRead(Request& r, const Plan& plan) {
     Server& s = *plan.server;
-    r.credit = plan.kept.tokens;
-    r.atHome = plan.kept.atHome;
+    r.credit = plan.kept;
     r.readTokens = r.ask.promptTokens - r.credit + kReadFloorTokens;
     r.whole = plan.whole;
     s.queuedTokens += r.readTokens;
@@ -861,18 +861,13 @@
     const bool read = e.outcome == Outcome::kPrefilled;
     if (read) {
       usual_[0].add(sec(e.elapsed), now_);
-      s->readCost.add(sec(e.elapsed) / r.planTokens, now_);
-      if (s->reads()) {
-        const double waited = sec(e.elapsed) - readRate(*s) * (r.readTokens + kReadFloorTokens);
-        s->wait.add(std::max(0.0, waited), now_);
-        waits_.emplace_back(now_, std::max(0.0, waited));
-      }
+      const double fresh = r.ask.promptTokens - e.keptTokens;
+      if (s->reads()) learnWait(*s, sec(e.elapsed) - readRate(*s) * (fresh + kReadFloorTokens));
+      const double planned = r.planTokens + fresh - (r.ask.promptTokens - r.credit);
+      s->readCost.add(sec(e.elapsed) / std::max(kReadFloorTokens, planned), now_);
       served(*s, r);
-      s->readVolume += r.ask.promptTokens - e.keptTokens;
-      if (r.atHome) trust_[1].add(std::min(1.0, e.keptTokens / std::max(1.0, r.ask.promptTokens)), now_);
-      if (r.credit > 0 && !r.atHome) trust_[0].add(std::min(1.0, e.keptTokens / r.credit), now_);
-      pools_[static_cast<std::size_t>(s->entry.role)].volume +=
-          (r.ask.promptTokens - e.keptTokens) / std::max(1.0, pool(*s).servers);
+      s->readVolume += fresh;
+      pools_[static_cast<std::size_t>(s->entry.role)].volume += fresh / std::max(1.0, pool(*s).servers);
       keep(r.ask.session, *s, r.ask.promptTokens);
       keep(r.ask.prefix, *s, r.ask.prefixTokens);
     }
@@ -892,8 +887,7 @@
     const Server* reader = find(r.reader);
     if (r.stage == Stage::kReading || reader == nullptr) return;
     const int kind = linkKind(*reader, s);
-    if (kind == 0)
-      return s.wait.add(std::max(0.002, took - transferTime(*reader, kind, r.ask.promptTokens)), now_);
+    if (kind == 0) return learnWait(s, took - transferTime(*reader, kind, r.ask.promptTokens));
     const double moved = std::max(0.0, took - s.wait.get(now_, waitPrior_)) / (r.ask.promptTokens + 1);
     links_[{reader->entry.cell, kind}].add(moved, now_);
   }
@@ -982,12 +976,11 @@
   std::unordered_map<std::uint64_t, std::vector<Kept>> kept_;  // never walked in its own order
   std::map<std::pair<std::uint32_t, int>, Learned> links_;  // a token's move, by reader's cell and link kind
   std::array<Pool, 4> pools_;                               // by role
-  Learned trust_[2];   // share of the credit found kept: by our own record, of the prompt at homes
   double probes_ = 1;  // that may be sent now
   std::vector<std::pair<double, double>> buckets_;          // for each tenant: requests in hand, and when
   Learned meanPrompt_;
   Learned usual_[2];  // time that reads, and writers' first tokens, took lately
-  std::deque<std::pair<double, double>> waits_;  // when reads ended lately, and how long they queued
+  std::deque<std::pair<double, double>> waits_[2];  // at readers and writers: when they ended, how long
   double readPrior_ = kReadPrior, waitPrior_ = kWaitPrior, queuePrior_ = 0;
 };
 
