--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -37,7 +37,8 @@
 constexpr double kKeepFor = 120;                     // ageing of the prefix table
 constexpr std::size_t kMostKept = 50000;             // its entries before old ones are dropped
 constexpr double kHomeKeeps = 0.8;                   // share of a prompt taken to be kept at its session's home
-constexpr double kHomes = 4;                         // homes of a shared text: its share of all readers, times this
+constexpr double kHot = 0.5;         // a reader's share of the requests from which a shared text has all for homes
+constexpr double kFewAsked = 20;     // requests that tell little of shares
 constexpr double kNearHome = 3;                      // odds that a home lies in our zone, a server
 constexpr double kMemoryPrior = 2e5;                 // tokens, of a server that does not tell its memory
 constexpr double kLastResort = 100;                  // cost of having a pure writer read
@@ -515,8 +516,8 @@
   }
 
   // The home of a session, and the next in line: rendezvous hashing, alike on all nodes of a zone, with better
-  // odds for near readers. A shared text has a few readers by its key, more the more it is asked for; the
-  // session's own key picks among them.
+  // odds for near readers. A shared text has one by its key, unless so many ask for it that they would fill it:
+  // then all readers keep it and the session's own key picks.
   Homes homesOf(const Request& r) const {
     struct Place {
       double byText, bySession;
@@ -529,8 +530,8 @@
     }
     std::size_t homes = places.size();
     if (const auto it = kept_.find(r.ask.prefix); r.ask.prefix != 0 && it != kept_.end()) {
-      const double share = it->second.asked.get(now_) / std::max(1.0, asked_.get(now_));
-      homes = static_cast<std::size_t>(kHomes * share * static_cast<double>(places.size()));
+      const double share = it->second.asked.get(now_) / (asked_.get(now_) + kFewAsked);
+      if (share * static_cast<double>(places.size()) < kHot) homes = 1;
     }
     homes = std::min(std::max<std::size_t>(homes, 1) + 1, places.size());
     std::partial_sort(places.begin(), places.begin() + static_cast<long>(homes), places.end(),
