--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -36,9 +36,7 @@
 constexpr double kFarBias = 0.02;                    // prices of leaving the cell or the zone, as time
 constexpr double kKeepFor = 120;                     // ageing of the prefix table
 constexpr std::size_t kMostKept = 50000;             // its entries before old ones are dropped
-constexpr double kHomeKeeps = 0.8;                   // share of a prompt taken to be kept at its session's home
-constexpr double kHot = 0.5;         // a reader's share of the requests from which a shared text has all for homes
-constexpr double kFewAsked = 20;     // requests that tell little of shares
+constexpr double kHomeKeeps = 0.75;                  // share of a prompt taken to be kept at its session's home
 constexpr double kNearHome = 3;                      // odds that a home lies in our zone, a server
 constexpr double kMemoryPrior = 2e5;                 // tokens, of a server that does not tell its memory
 constexpr double kLastResort = 100;                  // cost of having a pure writer read
@@ -87,15 +85,15 @@
   double value_ = 0, weight_ = 0, at_ = 0;
 };
 
-// A level that fades with time.
-class Fading {
+// How ill a server looks: failures add to it, successes and time take from it.
+class Illness {
  public:
-  explicit Fading(double forget = kForget) : forget_(forget) {}
-  double get(double now) const { return level_ * std::exp((at_ - now) / forget_); }
-  void set(double level, double now) { level_ = level, at_ = now; }
+  double get(double now) const { return level_ * std::exp((at_ - now) / kForget); }
+  void add(double step, double now) { set(std::min(kMostIll, get(now) + step), now); }
+  void heal(double now) { set(get(now) * kHealing, now); }
 
  private:
-  double forget_;
+  void set(double level, double now) { level_ = level, at_ = now; }
   double level_ = 0, at_ = 0;
 };
 
@@ -103,13 +101,13 @@
 struct Process {
   LoadReport report;
   double reportAt = -1e9, score = 0.5;
-  Learned readCost{kForget}, wait{kScoreWindow};
+  Learned readCost{kForget}, wait{kForget};
   double readVolume = 0;                  // prompt tokens that it has read anew for us
   double recentTokens = 0, recentAt = 0;  // sent to it lately, fading: not in its reports yet
   double overdue = 0;                     // how far its oldest unanswered attempt is past what was expected
   double answeredAt = -1e9;               // when it last finished a read or began an answer
-  Fading contact;                         // connections that failed or broke
-  std::map<int, Fading> illness;          // by class (from 0) and tenant (below 0)
+  Illness contact;                        // connections that failed or broke
+  std::map<int, Illness> illness;         // by class (from 0) and tenant (below 0)
 };
 
 struct Server : Process {
@@ -157,12 +155,6 @@
   const Server *first = nullptr, *second = nullptr;
 };
 
-// A session's or shared text: who keeps it, and how often it was asked for.
-struct Text {
-  std::vector<Kept> at;
-  Fading asked{kKeepFor};
-};
-
 // Our own record of a role, a server on average.
 struct Pool {
   double servers = 0;
@@ -230,8 +222,6 @@
     r.need = ask.promptTokens + expectedOutput(r);
     r.overShare = !withinShare(ask);
     meanPrompt_.add(ask.promptTokens, now_);
-    asked_.set(asked_.get(now_) + 1, now_);
-    if (ask.prefix != 0) kept_[ask.prefix].asked.set(kept_[ask.prefix].asked.get(now_) + 1, now_);
     if (set_.probePrice > 0) probes_ = std::min(kMostProbes, probes_ + kProbeBudget / set_.probePrice);
     if (now_ + margin() >= r.deadline) return finish(r);  // too late for anything but an answer
     enqueue(r);
@@ -280,7 +270,7 @@
     learnReport(e.server, e.load);
     Server* s = find(e.server);
     // A probe that waits too long may only stand in a queue; one that cannot connect is a sign of illness.
-    if (s != nullptr && e.outcome == Outcome::kConnectFailed) worsen(s->contact, 2);
+    if (s != nullptr && e.outcome == Outcome::kConnectFailed) s->contact.add(2 * kFailureStep, now_);
   }
 
   void on(const HoldAnswered&) {}  // places are not held ahead: the writer is picked after the read
@@ -303,7 +293,7 @@
       return e.second.entry.state == ServerEntry::State::kGone && e.second.idle();
     });
     if (kept_.size() > kMostKept) {
-      std::erase_if(kept_, [this](const auto& e) { return e.second.asked.get(now_) < 0.5; });
+      std::erase_if(kept_, [this](const auto& e) { return e.second.back().at < now_ - kKeepFor / 2; });
     }
   }
 
@@ -515,37 +505,24 @@
     return std::min(r.ask.promptTokens, std::max(own, rank * kHomeKeeps * r.ask.promptTokens));
   }
 
-  // The home of a session, and the next in line: rendezvous hashing, alike on all nodes of a zone, with better
-  // odds for near readers. A shared text has one by its key, unless so many ask for it that they would fill it:
-  // then all readers keep it and the session's own key picks.
+  // The home of a session, and the next in line: rendezvous hashing over the readers, alike on all nodes of a
+  // zone, with better odds for those near.
   Homes homesOf(const Request& r) const {
-    struct Place {
-      double byText, bySession;
-      const Server* server;
-    };
-    std::vector<Place> places;
+    Homes homes;
+    double first = 1e18, second = 1e18;
     for (const auto& [id, s] : servers_) {
-      if (s.serving() && s.entry.role != Role::kDecode)
-        places.push_back({place(r.ask.prefix, s), place(r.ask.session, s), &s});
-    }
-    std::size_t homes = places.size();
-    if (const auto it = kept_.find(r.ask.prefix); r.ask.prefix != 0 && it != kept_.end()) {
-      const double share = it->second.asked.get(now_) / (asked_.get(now_) + kFewAsked);
-      if (share * static_cast<double>(places.size()) < kHot) homes = 1;
+      if (!s.serving() || s.entry.role == Role::kDecode || r.ask.session == 0) continue;
+      const double u = static_cast<double>((mixed(r.ask.session, id) >> 11) + 1) * 0x1.0p-53;
+      const double place = -std::log(u) / (s.entry.zone == set_.zone ? kNearHome : 1);
+      if (place < first) {
+        second = std::exchange(first, place);
+        homes.second = std::exchange(homes.first, &s);
+      } else if (place < second) {
+        second = place;
+        homes.second = &s;
+      }
     }
-    homes = std::min(std::max<std::size_t>(homes, 1) + 1, places.size());
-    std::partial_sort(places.begin(), places.begin() + static_cast<long>(homes), places.end(),
-                      [](const Place& a, const Place& b) { return a.byText < b.byText; });
-    places.resize(homes);
-    if (homes < 2) return {homes == 1 ? places[0].server : nullptr, nullptr};
-    const auto bySession = [](const Place& a, const Place& b) { return a.bySession < b.bySession; };
-    std::iter_swap(places.begin(), std::min_element(places.begin(), places.end() - 1, bySession));
-    return {places[0].server, std::min_element(places.begin() + 1, places.end(), bySession)->server};
-  }
-
-  double place(std::uint64_t key, const Server& s) const {
-    const double u = static_cast<double>((mixed(key, s.entry.id) >> 11) + 1) * 0x1.0p-53;
-    return key == 0 ? 0 : -std::log(u) / (s.entry.zone == set_.zone ? kNearHome : 1);
+    return homes;
   }
 
   // Tokens of a text that a server still keeps. They age by what it has read since for all nodes: new text
@@ -553,7 +530,7 @@
   double keptAt(std::uint64_t key, const Server& s) const {
     const auto it = key == 0 ? kept_.end() : kept_.find(key);
     if (it == kept_.end()) return 0;
-    for (const Kept& k : it->second.at) {
+    for (const Kept& k : it->second) {
       if (k.server != s.entry.id || k.generation != s.generation) continue;
       const double pushed = ofAllNodes(s.readVolume - k.volume, pool(s).volume - k.pooled) / s.room();
       return k.tokens * std::exp((k.at - now_) / kKeepFor - pushed * pushed);
@@ -563,7 +540,7 @@
 
   void keep(std::uint64_t key, const Server& s, double tokens) {
     if (key == 0 || tokens <= 0) return;
-    std::vector<Kept>& list = kept_[key].at;
+    std::vector<Kept>& list = kept_[key];
     std::erase_if(list, [&](const Kept& k) { return k.server == s.entry.id || k.at < now_ - kKeepFor; });
     list.push_back({s.entry.id, s.generation, tokens, now_, s.readVolume, pool(s).volume});
   }
@@ -937,14 +914,10 @@
 
   void blame(Server& s, const Request& r, Outcome outcome) {
     const bool contact = outcome == Outcome::kConnectFailed || outcome == Outcome::kReset;
-    if (contact) return worsen(s.contact, 2);
+    if (contact) return s.contact.add(2 * kFailureStep, now_);
     const bool silent = outcome == Outcome::kTimeout;
     if (silent && tooManyOut(s.entry.role, r)) return;
-    for (const int part : parts(r)) worsen(s.illness[part], silent ? 2 : 1);
-  }
-
-  void worsen(Fading& level, double steps) {
-    level.set(std::min(kMostIll, level.get(now_) + steps * kFailureStep), now_);
+    for (const int part : parts(r)) s.illness[part].add((silent ? 2 : 1) * kFailureStep, now_);
   }
 
   bool tooManyOut(Role role, const Request& r) const {
@@ -958,7 +931,7 @@
 
   void recovered(Server& s, const Request& r) {
     s.answeredAt = now_;
-    for (const int part : parts(r)) s.illness[part].set(kHealing * s.illness[part].get(now_), now_);
+    for (const int part : parts(r)) s.illness[part].heal(now_);
     if (s.contact.get(now_) > kFailureStep / 2) s.coldSince = std::max(s.coldSince, now_);  // slow start
     s.contact = {};
   }
@@ -1000,13 +973,12 @@
   std::map<RequestId, Request> requests_;
   std::set<std::pair<double, RequestId>> queue_;  // requests that wait here, tightest aim first
   std::vector<RequestId> ended_;
-  std::unordered_map<std::uint64_t, Text> kept_;  // never walked in its own order
+  std::unordered_map<std::uint64_t, std::vector<Kept>> kept_;  // never walked in its own order
   std::map<std::pair<std::uint32_t, int>, Learned> links_;  // a token's move, by reader's cell and link kind
   std::array<Pool, 4> pools_;                               // by role
   double probes_ = 1;  // that may be sent now
   std::vector<std::pair<double, double>> buckets_;          // for each tenant: requests in hand, and when
   Learned meanPrompt_;
-  Fading asked_{kKeepFor};  // requests
   Learned usual_[2];  // time that reads, and writers' first tokens, took lately
   std::deque<std::pair<double, double>> waits_[2];  // at readers and writers: when they ended, how long
   double readPrior_ = kReadPrior, waitPrior_ = kWaitPrior, queuePrior_ = 0;
