--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -43,7 +43,7 @@
 constexpr int kMostHeldTried = 16;      // requests that may stay before a pass over our queue ends
 constexpr double kNearlyFull = 0.9;     // a writer's memory share from which it yields
 constexpr double kYieldShare = 0.3;     // cost of a writer that should yield, of the shortest aim
-constexpr double kWriterShare = 0.25;   // writers' wait up to which requests are let in, of the shortest aim
+constexpr double kLetIn = 0.6;          // of its aim that a first token may be expected to take to be let in
 constexpr double kOverShareRoom = 0.4;  // ... and of that, for those beyond their tenant's share
 constexpr double kRecent = 1.5;         // how long a send is taken not to show in the reports yet
 constexpr double kTimeoutFactor = 3;    // a time-out against the time expected of the work
@@ -619,7 +619,7 @@
   // ---- The picks ----
   struct Plan {
     Server* server = nullptr;
-    double cost = 1e18, time = 0, kept = 0;
+    double cost = 1e18, time = 0, onward = 0, kept = 0;
     bool whole = false;
 
     bool offer(const Request& r, Server& s, double price) {
@@ -644,9 +644,10 @@
       const double time = readTime(s, fresh);
       double cost = time + kMissWeight * readRate(s) * fresh + kScoreTime * s.score + ill(s, r) +
                     (s.entry.zone == set_.zone ? 0 : kFarBias);
-      cost += whole ? writerWait(s, r) : std::min(shortestAim_, onwardFrom(s, r, onward));
+      const double then = whole ? writerWait(s, r) : std::min(shortestAim_, onwardFrom(s, r, onward));
+      cost += then;
       if (s.entry.role == Role::kDecode) cost += kLastResort;
-      if (best.offer(r, s, cost)) best.time = time, best.whole = whole, best.kept = kept;
+      if (best.offer(r, s, cost)) best.time = time, best.onward = then, best.whole = whole, best.kept = kept;
     }
     return best;
   }
@@ -718,8 +719,9 @@
     if (plan.server != nullptr) {
       if (now_ + plan.time >= r.deadline || r.sends + (plan.whole ? 1 : 2) > set_.maxAttempts)
         return finish(r), true;
+      const double most = kLetIn * (r.aimAt - r.arrived) * (r.overShare ? kOverShareRoom : 1);
       const bool shallow = readTime(*plan.server, 0) <= kQueueShare * shortestAim_;
-      if (shallow && roomAhead(r)) return sendRead(r, plan), true;
+      if (shallow && plan.time + plan.onward <= most) return sendRead(r, plan), true;
     }
     // Long queues at readers push out the text they keep and so slow them further. Waiting here costs no
     // server anything, but what cannot come in time is refused early.
@@ -727,16 +729,6 @@
     return finish(r), true;
   }
 
-  // Load shedding: a prompt is read only when some writer can take it soon. Traffic beyond its tenant's
-  // share gives way earlier.
-  bool roomAhead(const Request& r) const {
-    const double most = kWriterShare * shortestAim_ * (r.overShare ? kOverShareRoom : 1);
-    for (const auto& [id, s] : servers_) {
-      if (s.writes() && s.serving() && writerWait(s, r) <= most) return true;
-    }
-    return false;
-  }
-
   void sendRead(Request& r, const Plan& plan) {
     Server& s = *plan.server;
     r.credit = plan.kept;
