--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -28,24 +28,23 @@
 constexpr double kReadFloorTokens = 300;  // a read's fixed cost, as tokens
 constexpr double kOutlier = 1.7;          // a reader this much slower than its peers counts as slow
 constexpr double kQueueShare = 0.4;       // of the shortest aim that a reader's queue may take
-constexpr double kWaitsSeen = 4;          // how long a wait tells of the servers of its role
+constexpr double kSeen = 4;               // how long a sample tells of all servers of its role
 constexpr double kScoreTime = 0.1;        // what a reader's load score of 1 weighs
 constexpr double kMissWeight = 1;         // what reading a token anew costs those who come after
 constexpr double kWaitPrior = 0.05;       // a writer's wait before the first token
 constexpr double kLinkPrior[] = {5e-6, 2e-5, 4e-5};  // a state's move, a token: cell, zone, beyond
 constexpr double kFarBias = 0.02;                    // prices of leaving the cell or the zone, as time
-constexpr double kKeepFor = 120;                     // ageing of the prefix table
+constexpr double kKeepFor = 40;                      // ageing of the prefix table
 constexpr std::size_t kMostKept = 50000;             // its entries before old ones are dropped
-constexpr double kHomeKeeps = 0.75;                  // share of a prompt taken to be kept at its session's home
-constexpr double kNearHome = 3;                      // odds that a home lies in our zone, a server
-constexpr double kMemoryPrior = 2e5;                 // tokens, of a server that does not tell its memory
-constexpr double kLastResort = 100;                  // cost of having a pure writer read
+constexpr double kHomeKeeps = 0.75;     // share of a prompt taken to be kept at its session's home
+constexpr double kNearHome = 3;         // odds that a home lies in our zone, a server
+constexpr double kMemoryPrior = 2e5;    // tokens, of a server that does not tell its memory
+constexpr double kLastResort = 100;     // cost of having a pure writer read
 constexpr int kMostHeldTried = 16;      // requests that may stay before a pass over our queue ends
 constexpr double kNearlyFull = 0.9;     // a writer's memory share from which it yields
 constexpr double kYieldShare = 0.3;     // cost of a writer that should yield, of the shortest aim
 constexpr double kLetIn = 0.6;          // of its aim that a first token may be expected to take to be let in
 constexpr double kOverShareRoom = 0.4;  // ... and of that, for those beyond their tenant's share
-constexpr double kRecent = 1.5;         // how long a send is taken not to show in the reports yet
 constexpr double kTimeoutFactor = 3;    // a time-out against the time expected of the work
 constexpr double kSilentShare = 0.35;   // ... and, at least, against the request's aim
 constexpr double kTryShare = 0.6;      // of the time left that one attempt may take while others could follow
@@ -77,7 +76,6 @@
     const double weight = weightAt(now);
     return (value_ * weight + prior * kPriorWeight) / (weight + kPriorWeight);
   }
-  bool known(double now) const { return weightAt(now) > kPriorWeight; }
 
  private:
   double weightAt(double now) const { return weight_ * std::exp((at_ - now) / forget_); }
@@ -85,6 +83,25 @@
   double value_ = 0, weight_ = 0, at_ = 0;
 };
 
+// The median of the samples of the last seconds, from whatever server: with many nodes no one server's own
+// are enough.
+class Recent {
+ public:
+  void add(double sample, double now) { samples_.emplace_back(now, sample); }
+  double middle(double now, double otherwise) {
+    while (!samples_.empty() && samples_.front().first < now - kSeen) samples_.pop_front();
+    std::vector<double> values;
+    for (const auto& [at, sample] : samples_) values.push_back(sample);
+    if (values.empty()) return otherwise;
+    const auto half = values.begin() + static_cast<long>(values.size() / 2);
+    std::nth_element(values.begin(), half, values.end());
+    return *half;
+  }
+
+ private:
+  std::deque<std::pair<double, double>> samples_;
+};
+
 // How ill a server looks: failures add to it, successes and time take from it.
 class Illness {
  public:
@@ -102,20 +119,17 @@
   LoadReport report;
   double reportAt = -1e9, score = 0.5;
   Learned readCost{kForget}, wait{kForget};
-  double readVolume = 0;                  // prompt tokens that it has read anew for us
-  double recentTokens = 0, recentAt = 0;  // sent to it lately, fading: not in its reports yet
-  double overdue = 0;                     // how far its oldest unanswered attempt is past what was expected
-  double answeredAt = -1e9;               // when it last finished a read or began an answer
-  Illness contact;                        // connections that failed or broke
-  std::map<int, Illness> illness;         // by class (from 0) and tenant (below 0)
+  double overdue = 0;              // how far its oldest unanswered attempt is past what was expected
+  double answeredAt = -1e9;        // when it last finished a read or began an answer
+  Illness contact;                 // connections that failed or broke
+  std::map<int, Illness> illness;  // by class (from 0) and tenant (below 0)
 };
 
 struct Server : Process {
   ServerEntry entry;
-  int generation = 0;  // counts restarts: what an earlier process kept is gone
   int reading = 0, waiting = 0, streaming = 0, sending = 0;  // our own record of work out
   double queuedTokens = 0, heldTokens = 0;                   // prompt tokens to read; states and streams
-  double coldSince = -1e9, coldFrom = -1e9, coldPhase = 0;  // since when it is cold, and known to us to be
+  double coldSince = -1e9, startSeen = -1e9, coldPhase = 0;  // since when it is cold, and known to us to be
   double nextProbe = 0;
   std::deque<std::pair<double, double>> coldSends;  // time and weight of the sends of a warming time
 
@@ -138,28 +152,24 @@
   bool out = false, whole = false, calledOff = false;  // an attempt is out, reads and writes, was cancelled
   ServerId server, reader;                             // of the last attempt; where the state waits
   double sentAt = 0, expected = 0, heldSince = 0, credit = 0;
-  double readTokens = 0, planTokens = 1, need = 0;  // to read; in the estimate; of a writer's memory
-  bool mayHaveRun = false;  // some attempt may have had its effect; the first was sent then and there
+  double readTokens = 0, need = 0;  // to read; of a writer's memory
+  bool mayHaveRun = false;          // some attempt may have had its effect; the first was sent then and there
   double firstRunAt = 0;
   ServerEntry ranOn;
   std::vector<ServerId> failedOn;
+  std::vector<int> parts;  // of a server's health that concern it: its class (from 0) and tenant (below 0)
 };
 
 struct Kept {
   ServerId server;
-  int generation;
-  double tokens, at, volume, pooled;
-};
-
-struct Homes {
-  const Server *first = nullptr, *second = nullptr;
+  double tokens, at;
 };
 
 // Our own record of a role, a server on average.
 struct Pool {
   double servers = 0;
-  double queued = 0, held = 0, volume = 0;    // tokens to read and of states and streams; read anew so far
-  double served = 0, rate = 0, most = 0;      // weights served: since the last look, a second, the most lately
+  double queued = 0, held = 0;            // tokens to read, and of states and streams
+  double served = 0, rate = 0, most = 0;  // weights served: since the last look, a second, the most lately
 };
 
 }  // namespace
@@ -201,12 +211,11 @@
     const bool restarted = entry.startedAt && (added || entry.startedAt != s.entry.startedAt);
     if (added) s.nextProbe = now_ + draw() * 0.5;
     if (restarted && !added) {  // an empty, cold process: nothing learned of the last one holds
-      ++s.generation;
       static_cast<Process&>(s) = Process{};
     }
     if (restarted) {
       s.coldSince = std::max(s.coldSince, entry.startedAt->time_since_epoch().count());
-      s.coldFrom = now_;
+      s.startSeen = now_;
       s.coldPhase = draw();
     }
     s.entry = entry;
@@ -221,6 +230,8 @@
     r.aimAt = std::min(r.deadline, now_ + sec(c.aim) + sec(c.aimPerToken) * ask.promptTokens);
     r.need = ask.promptTokens + expectedOutput(r);
     r.overShare = !withinShare(ask);
+    r.parts = {static_cast<int>(ask.classIndex)};
+    if (ask.tenant) r.parts.push_back(-1 - static_cast<int>(*ask.tenant));
     meanPrompt_.add(ask.promptTokens, now_);
     if (set_.probePrice > 0) probes_ = std::min(kMostProbes, probes_ + kProbeBudget / set_.probePrice);
     if (now_ + margin() >= r.deadline) return finish(r);  // too late for anything but an answer
@@ -397,37 +408,9 @@
       }
       if (terms > 0) s.score += (sum / terms - s.score) * step;
     }
-    readPrior_ = usualReadCost();
-    waitPrior_ = usualWait(true, kWaitPrior);
-    queuePrior_ = usualWait(false, 0);
-  }
-
-  double usualReadCost() const {
-    std::vector<double> values;
-    for (const auto& [id, s] : servers_) {
-      if (s.serving() && s.readCost.known(now_)) values.push_back(s.readCost.get(now_, kReadPrior));
-    }
-    return middle(values, kReadPrior);
-  }
-
-  // The median of all waits of a stage that ended lately: with many nodes no server's own are enough.
-  double usualWait(bool writers, double otherwise) {
-    auto& waits = waits_[writers];
-    while (!waits.empty() && waits.front().first < now_ - kWaitsSeen) waits.pop_front();
-    std::vector<double> values;
-    for (const auto& [at, wait] : waits) values.push_back(wait);
-    return middle(values, otherwise);
-  }
-
-  void learnWait(Server& s, double wait) {
-    s.wait.add(std::max(0.0, wait), now_);
-    waits_[s.writes()].emplace_back(now_, std::max(0.0, wait));
-  }
-
-  static double middle(std::vector<double>& values, double otherwise) {
-    if (values.empty()) return otherwise;
-    std::nth_element(values.begin(), values.begin() + static_cast<long>(values.size() / 2), values.end());
-    return values[values.size() / 2];
+    readPrior_ = readCosts_.middle(now_, kReadPrior);
+    waitPrior_ = waits_[true].middle(now_, kWaitPrior);
+    queuePrior_ = waits_[false].middle(now_, 0);
   }
 
   bool fresh(const Server& s) const { return now_ - s.reportAt < kReportFresh; }
@@ -468,15 +451,11 @@
     return rate * tokens + kFarBias * kind;
   }
 
-  // Share of a writer's memory that is held: as reported and sent since, else our own times the nodes.
+  // Share of a writer's memory that is held: as reported, else by our own record.
   double filled(const Server& s) const {
     const LoadReport told = fresh(s) ? s.report : LoadReport{};
-    const double all = ofAllNodes(s.heldTokens, pool(s).held);
-    const double recent = s.recentTokens * std::exp((s.recentAt - now_) / kRecent) * set_.nodes / 2;
-    const double since =
-        (told.memoryShare ? std::min(recent, all) : all) / s.room();
-    return std::max(
-        {told.memoryShare.value_or(0) + since, s.heldTokens / s.room(), told.busyShare.value_or(0)});
+    const double all = ofAllNodes(s.heldTokens, pool(s).held) / s.room();
+    return std::max({told.memoryShare.value_or(all), s.heldTokens / s.room(), told.busyShare.value_or(0)});
   }
 
   // One with a queue, or that this request would fill, yields to the next.
@@ -498,42 +477,34 @@
   // What the server is taken to keep of a prompt: by our own record, or as the home of its session. With many
   // nodes a session's turns come to different ones; its home is where all of them send what they know nothing
   // of. That only holds while all do, so it is no learned figure.
-  double credit(const Server& s, const Request& r, const Homes& homes) const {
+  double credit(const Server& s, const Request& r, const Server* home) const {
     const double own =
         std::max(keptAt(r.ask.session, s), std::min(keptAt(r.ask.prefix, s), r.ask.prefixTokens));
-    const double rank = &s == homes.first ? 1 : &s == homes.second ? 0.5 : 0;
-    return std::min(r.ask.promptTokens, std::max(own, rank * kHomeKeeps * r.ask.promptTokens));
+    return std::min(r.ask.promptTokens, std::max(own, &s == home ? kHomeKeeps * r.ask.promptTokens : 0));
   }
 
-  // The home of a session, and the next in line: rendezvous hashing over the readers, alike on all nodes of a
-  // zone, with better odds for those near.
-  Homes homesOf(const Request& r) const {
-    Homes homes;
-    double first = 1e18, second = 1e18;
+  // The home of a session: rendezvous hashing over the readers, alike on all nodes of a zone, with better
+  // odds for those near.
+  const Server* homeOf(const Request& r) const {
+    const Server* home = nullptr;
+    double first = 1e18;
     for (const auto& [id, s] : servers_) {
       if (!s.serving() || s.entry.role == Role::kDecode || r.ask.session == 0) continue;
       const double u = static_cast<double>((mixed(r.ask.session, id) >> 11) + 1) * 0x1.0p-53;
       const double place = -std::log(u) / (s.entry.zone == set_.zone ? kNearHome : 1);
-      if (place < first) {
-        second = std::exchange(first, place);
-        homes.second = std::exchange(homes.first, &s);
-      } else if (place < second) {
-        second = place;
-        homes.second = &s;
-      }
+      if (place >= first) continue;
+      first = place;
+      home = &s;
     }
-    return homes;
+    return home;
   }
 
-  // Tokens of a text that a server still keeps. They age by what it has read since for all nodes: new text
-  // pushes old text out of its memory.
+  // Tokens of a text that a server still keeps. They age: new text pushes old text out of its memory.
   double keptAt(std::uint64_t key, const Server& s) const {
     const auto it = key == 0 ? kept_.end() : kept_.find(key);
     if (it == kept_.end()) return 0;
     for (const Kept& k : it->second) {
-      if (k.server != s.entry.id || k.generation != s.generation) continue;
-      const double pushed = ofAllNodes(s.readVolume - k.volume, pool(s).volume - k.pooled) / s.room();
-      return k.tokens * std::exp((k.at - now_) / kKeepFor - pushed * pushed);
+      if (k.server == s.entry.id && k.at >= s.startSeen) return k.tokens * std::exp((k.at - now_) / kKeepFor);
     }
     return 0;
   }
@@ -542,7 +513,7 @@
     if (key == 0 || tokens <= 0) return;
     std::vector<Kept>& list = kept_[key];
     std::erase_if(list, [&](const Kept& k) { return k.server == s.entry.id || k.at < now_ - kKeepFor; });
-    list.push_back({s.entry.id, s.generation, tokens, now_, s.readVolume, pool(s).volume});
+    list.push_back({s.entry.id, tokens, now_});
   }
 
   // ---- Who may be sent what ----
@@ -566,7 +537,7 @@
     const double part = kColdSafety * set_.coldOverloadFactor * able * pool(s).most * sec(set_.coldWindow);
     const double budget = std::max(part, std::min(1.0, kColdUnknown / set_.nodes)), weight = sendWeight(r);
     const double span = sec(set_.coldWindow) * std::max(1.0, weight / budget);
-    if (budget < weight && now_ - s.coldFrom < s.coldPhase * span) return false;
+    if (budget < weight && now_ - s.startSeen < s.coldPhase * span) return false;
     double spent = 0;
     for (const auto& [at, sent] : s.coldSends) spent += at > now_ - span ? sent : 0;
     return spent + weight <= std::max(budget, weight);
@@ -636,15 +607,15 @@
   Plan planRead(const Request& r, bool strict) {
     Plan best;
     const Onward onward = planOnward(r);
-    const Homes homes = homesOf(r);
+    const Server* const home = homeOf(r);
     for (auto& [id, s] : servers_) {
       const bool whole = !s.reads();
       if ((whole && !readsWhole(s)) || !mayRunOn(r, s) || !mayTake(s, r, strict)) continue;
-      const double kept = credit(s, r, homes), fresh = r.ask.promptTokens - kept;
+      const double kept = credit(s, r, home), fresh = r.ask.promptTokens - kept;
       const double time = readTime(s, fresh);
       double cost = time + kMissWeight * readRate(s) * fresh + kScoreTime * s.score + ill(s, r) +
                     (s.entry.zone == set_.zone ? 0 : kFarBias);
-      const double then = whole ? writerWait(s, r) : std::min(shortestAim_, onwardFrom(s, r, onward));
+      const double then = whole ? writerWait(s, r) : onwardFrom(s, r, onward);
       cost += then;
       if (s.entry.role == Role::kDecode) cost += kLastResort;
       if (best.offer(r, s, cost)) best.time = time, best.onward = then, best.whole = whole, best.kept = kept;
@@ -652,32 +623,32 @@
     return best;
   }
 
-  // The least writer's cost, its transfer left out, in each cell and zone and anywhere: so that ranking the
-  // readers takes one pass over them and one over the writers.
-  struct Onward {
-    std::map<std::uint32_t, double> cell, zone;
-    double any = 1e18;
-  };
+  // The least writer's cost, its transfer left out, in each cell, in each zone and anywhere: so that ranking
+  // the readers takes one pass over them and one over the writers.
+  using Onward = std::map<std::pair<int, std::uint32_t>, double>;
+  static std::uint32_t reach(int kind, const Server& s) {
+    return kind == 0 ? s.entry.cell : kind == 1 ? s.entry.zone : 0;
+  }
   Onward planOnward(const Request& r) const {
     Onward least;
     for (const auto& [id, s] : servers_) {
       if (!s.writes() || !mayTake(s, r, true) || !mayRunOn(r, s)) continue;
       const double cost = writerCost(s, r);
-      for (auto* of : {&least.cell.try_emplace(s.entry.cell, 1e18).first->second,
-                       &least.zone.try_emplace(s.entry.zone, 1e18).first->second, &least.any})
-        *of = std::min(*of, cost);
+      for (int kind = 0; kind < 3; ++kind) {
+        double& best = least.try_emplace({kind, reach(kind, s)}, cost).first->second;
+        best = std::min(best, cost);
+      }
     }
     return least;
   }
 
   double onwardFrom(const Server& s, const Request& r, const Onward& least) const {
-    const auto in = [](const auto& costs, std::uint32_t key) {
-      const auto it = costs.find(key);
-      return it == costs.end() ? 1e18 : it->second;
-    };
-    return std::min({in(least.cell, s.entry.cell) + transferTime(s, 0, r.ask.promptTokens),
-                     in(least.zone, s.entry.zone) + transferTime(s, 1, r.ask.promptTokens),
-                     least.any + transferTime(s, 2, r.ask.promptTokens)});
+    double best = shortestAim_;
+    for (int kind = 0; kind < 3; ++kind) {
+      const auto it = least.find({kind, reach(kind, s)});
+      if (it != least.end()) best = std::min(best, it->second + transferTime(s, kind, r.ask.promptTokens));
+    }
+    return best;
   }
 
   bool readsWhole(const Server& s) const {
@@ -699,7 +670,8 @@
     return writerWait(s, r) + ahead + (s.entry.role == Role::kMixed ? kLastResort : 0);
   }
 
-  // Order among equals: the same shared prefix leads every node to the same reader; writers spread by session.
+  // Order among equals: the same shared prefix leads every node to the same reader; writers spread by
+  // session.
   static std::uint64_t tie(const Request& r, const Server& s) {
     return mixed(r.ask.prefix != 0 && s.reads() ? r.ask.prefix : r.ask.session, s.entry.id);
   }
@@ -738,10 +710,10 @@
     s.reading += 1;
     keep(r.ask.prefix, s, r.ask.prefixTokens);  // who comes next on this server finds it read
     r.stage = Stage::kReading;
-    r.planTokens = plan.time / readRate(s);
     send(r, s, plan.time + (plan.whole ? s.wait.get(now_, waitPrior_) : 0));
     if (plan.whole) return;
-    if (Server* const writer = planWrite(r, s, true).server) probe(*writer);  // told of by the end of the read
+    if (Server* const writer = planWrite(r, s, true).server)
+      probe(*writer);  // told of by the end of the read
   }
 
   void pickWriterOrHold(Request& r) {
@@ -754,7 +726,9 @@
       r.whole = false;
       s->waiting += 1;
       reader->sending += 1;
-      return send(r, *s, transferTime(*reader, linkKind(*reader, *s), r.ask.promptTokens) + s->wait.get(now_, waitPrior_));
+      return send(
+          r, *s,
+          transferTime(*reader, linkKind(*reader, *s), r.ask.promptTokens) + s->wait.get(now_, waitPrior_));
     }
     // Nothing may stay pinned: a state that no writer can take is let go well before the limit.
     if (sec(set_.pinLimit) > 0 && now_ - r.heldSince > 0.6 * sec(set_.pinLimit) - 2 * kSweep) finish(r);
@@ -767,11 +741,7 @@
     r.expected = expected;
     r.calledOff = false;
     ++r.sends;
-    if (runsEffect(r)) {
-      s.heldTokens += r.need;
-      s.recentTokens = s.recentTokens * std::exp((s.recentAt - now_) / kRecent) + r.need;
-      s.recentAt = now_;
-    }
+    if (runsEffect(r)) s.heldTokens += r.need;
     s.coldSends.emplace_back(now_, sendWeight(r));
     while (s.coldSends.front().first < now_ - sec(set_.coldWarmAfter)) s.coldSends.pop_front();
     // Where attempts can be called off, silence ends them; the time-out only leaves room for another try.
@@ -855,11 +825,11 @@
       usual_[0].add(sec(e.elapsed), now_);
       const double fresh = r.ask.promptTokens - e.keptTokens;
       if (s->reads()) learnWait(*s, sec(e.elapsed) - readRate(*s) * (fresh + kReadFloorTokens));
-      const double planned = r.planTokens + fresh - (r.ask.promptTokens - r.credit);
-      s->readCost.add(sec(e.elapsed) / std::max(kReadFloorTokens, planned), now_);
+      const double planned = r.expected / readRate(*s) + fresh - (r.ask.promptTokens - r.credit);
+      const double cost = sec(e.elapsed) / std::max(kReadFloorTokens, planned);
+      readCosts_.add(cost, now_);
+      s->readCost.add(cost, now_);
       served(*s, r);
-      s->readVolume += fresh;
-      pools_[static_cast<std::size_t>(s->entry.role)].volume += fresh / std::max(1.0, pool(*s).servers);
       keep(r.ask.session, *s, r.ask.promptTokens);
       keep(r.ask.prefix, *s, r.ask.prefixTokens);
     }
@@ -869,6 +839,11 @@
     if (!ours && e.outcome != Outcome::kStateLost) blame(*s, r, e.outcome);
   }
 
+  void learnWait(Server& s, double wait) {
+    s.wait.add(std::max(0.0, wait), now_);
+    waits_[s.writes()].add(std::max(0.0, wait), now_);
+  }
+
   static bool neverRan(Outcome outcome) {
     return outcome == Outcome::kRejected || outcome == Outcome::kStateLost ||
            outcome == Outcome::kConnectFailed || outcome == Outcome::kNotSent;
@@ -891,25 +866,19 @@
   // half of the role is out already: then the cause may be a link or the load.
   double illness(const Server& s, const Request& r) const {
     double least = 1e9;
-    for (const int part : parts(r)) {
+    for (const int part : r.parts) {
       const auto it = s.illness.find(part);
       least = std::min(least, it == s.illness.end() ? 0 : it->second.get(now_));
     }
     return std::max(least, s.contact.get(now_));
   }
 
-  static std::vector<int> parts(const Request& r) {
-    std::vector<int> parts{static_cast<int>(r.ask.classIndex)};
-    if (r.ask.tenant) parts.push_back(-1 - static_cast<int>(*r.ask.tenant));
-    return parts;
-  }
-
   void blame(Server& s, const Request& r, Outcome outcome) {
     const bool contact = outcome == Outcome::kConnectFailed || outcome == Outcome::kReset;
     if (contact) return s.contact.add(2 * kFailureStep, now_);
     const bool silent = outcome == Outcome::kTimeout;
     if (silent && tooManyOut(s.entry.role, r)) return;
-    for (const int part : parts(r)) s.illness[part].add((silent ? 2 : 1) * kFailureStep, now_);
+    for (const int part : r.parts) s.illness[part].add((silent ? 2 : 1) * kFailureStep, now_);
   }
 
   bool tooManyOut(Role role, const Request& r) const {
@@ -923,7 +892,7 @@
 
   void recovered(Server& s, const Request& r) {
     s.answeredAt = now_;
-    for (const int part : parts(r)) s.illness[part].heal(now_);
+    for (const int part : r.parts) s.illness[part].heal(now_);
     if (s.contact.get(now_) > kFailureStep / 2) s.coldSince = std::max(s.coldSince, now_);  // slow start
     s.contact = {};
   }
@@ -968,11 +937,11 @@
   std::unordered_map<std::uint64_t, std::vector<Kept>> kept_;  // never walked in its own order
   std::map<std::pair<std::uint32_t, int>, Learned> links_;  // a token's move, by reader's cell and link kind
   std::array<Pool, 4> pools_;                               // by role
-  double probes_ = 1;  // that may be sent now
+  double probes_ = 1;                                       // that may be sent now
   std::vector<std::pair<double, double>> buckets_;          // for each tenant: requests in hand, and when
   Learned meanPrompt_;
-  Learned usual_[2];  // time that reads, and writers' first tokens, took lately
-  std::deque<std::pair<double, double>> waits_[2];  // at readers and writers: when they ended, how long
+  Learned usual_[2];             // time that reads, and writers' first tokens, took lately
+  Recent readCosts_, waits_[2];  // a token's reading; waits at readers and at writers
   double readPrior_ = kReadPrior, waitPrior_ = kWaitPrior, queuePrior_ = 0;
 };
 
