--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -8,12 +8,13 @@
 #include <algorithm>
 #include <array>
 #include <cmath>
-#include <deque>
 #include <map>
 #include <set>
 #include <unordered_map>
 #include <utility>
 
+#include "records.h"
+
 namespace gannetcourse {
 namespace {
 
@@ -63,115 +64,6 @@
 
 double sec(Duration d) { return d.count(); }
 
-// A figure learned from samples: recent ones count most, and without new ones it fades towards `prior`.
-class Learned {
- public:
-  explicit Learned(double forget = kForget) : forget_(forget) {}
-  void add(double sample, double now) {
-    weight_ = std::min(weightAt(now) + 1, kMemory);
-    value_ += (sample - value_) / weight_;
-    at_ = now;
-  }
-  double get(double now, double prior) const {
-    const double weight = weightAt(now);
-    return (value_ * weight + prior * kPriorWeight) / (weight + kPriorWeight);
-  }
-
- private:
-  double weightAt(double now) const { return weight_ * std::exp((at_ - now) / forget_); }
-  double forget_;
-  double value_ = 0, weight_ = 0, at_ = 0;
-};
-
-// The median of the samples of the last seconds, from whatever server: with many nodes no one server's own
-// are enough.
-class Recent {
- public:
-  void add(double sample, double now) { samples_.emplace_back(now, sample); }
-  double middle(double now, double otherwise) {
-    while (!samples_.empty() && samples_.front().first < now - kSeen) samples_.pop_front();
-    std::vector<double> values;
-    for (const auto& [at, sample] : samples_) values.push_back(sample);
-    if (values.empty()) return otherwise;
-    const auto half = values.begin() + static_cast<long>(values.size() / 2);
-    std::nth_element(values.begin(), half, values.end());
-    return *half;
-  }
-
- private:
-  std::deque<std::pair<double, double>> samples_;
-};
-
-// How ill a server looks: failures add to it, successes and time take from it.
-class Illness {
- public:
-  double get(double now) const { return level_ * std::exp((at_ - now) / kForget); }
-  void add(double step, double now) { set(std::min(kMostIll, get(now) + step), now); }
-  void heal(double now) { set(get(now) * kHealing, now); }
-
- private:
-  void set(double level, double now) { level_ = level, at_ = now; }
-  double level_ = 0, at_ = 0;
-};
-
-// What is known of a server's process; a restart wipes it.
-struct Process {
-  LoadReport report;
-  double reportAt = -1e9, score = 0.5;
-  Learned readCost{kForget}, wait{kForget};
-  double overdue = 0;              // how far its oldest unanswered attempt is past what was expected
-  double answeredAt = -1e9;        // when it last finished a read or began an answer
-  Illness contact;                 // connections that failed or broke
-  std::map<int, Illness> illness;  // by class (from 0) and tenant (below 0)
-};
-
-struct Server : Process {
-  ServerEntry entry;
-  int reading = 0, waiting = 0, streaming = 0, sending = 0;  // our own record of work out
-  double queuedTokens = 0, heldTokens = 0;                   // prompt tokens to read; states and streams
-  double coldSince = -1e9, startSeen = -1e9, coldPhase = 0;  // since when it is cold, and known to us to be
-  double nextProbe = 0;
-  std::deque<std::pair<double, double>> coldSends;  // time and weight of the sends of a warming time
-
-  bool serving() const { return entry.state == ServerEntry::State::kServing; }
-  double room() const { return entry.memoryTokens > 0 ? entry.memoryTokens : kMemoryPrior; }
-  bool idle() const { return reading + waiting + streaming + sending == 0; }
-  bool reads() const { return entry.role == Role::kPrefill; }
-  bool writes() const { return entry.role == Role::kDecode || entry.role == Role::kMixed; }
-  int unanswered() const { return reading + waiting; }
-};
-
-enum class Stage { kQueued, kReading, kHolding, kWriting, kStreaming };
-
-struct Request {
-  RequestArrived ask;
-  double arrived = 0, deadline = 0, aimAt = 0;
-  bool overShare = false, answered = false;
-  Stage stage = Stage::kQueued;
-  int sends = 0, timeouts = 0, writerFailures = 0;
-  bool out = false, whole = false, calledOff = false;  // an attempt is out, reads and writes, was cancelled
-  ServerId server, reader;                             // of the last attempt; where the state waits
-  double sentAt = 0, expected = 0, heldSince = 0, credit = 0;
-  double readTokens = 0, need = 0;  // to read; of a writer's memory
-  bool mayHaveRun = false;          // some attempt may have had its effect; the first was sent then and there
-  double firstRunAt = 0;
-  ServerEntry ranOn;
-  std::vector<ServerId> failedOn;
-  std::vector<int> parts;  // of a server's health that concern it: its class (from 0) and tenant (below 0)
-};
-
-struct Kept {
-  ServerId server;
-  double tokens, at;
-};
-
-// Our own record of a role, a server on average.
-struct Pool {
-  double servers = 0;
-  double queued = 0, held = 0;            // tokens to read, and of states and streams
-  double served = 0, rate = 0, most = 0;  // weights served: since the last look, a second, the most lately
-};
-
 }  // namespace
 
 class Policy::Impl {
@@ -232,7 +124,7 @@
     r.overShare = !withinShare(ask);
     r.parts = {static_cast<int>(ask.classIndex)};
     if (ask.tenant) r.parts.push_back(-1 - static_cast<int>(*ask.tenant));
-    meanPrompt_.add(ask.promptTokens, now_);
+    learn(meanPrompt_, ask.promptTokens);
     if (set_.probePrice > 0) probes_ = std::min(kMostProbes, probes_ + kProbeBudget / set_.probePrice);
     if (now_ + margin() >= r.deadline) return finish(r);  // too late for anything but an answer
     enqueue(r);
@@ -266,7 +158,7 @@
     Request& r = it->second;
     Server& s = servers_[e.server];
     learnFirstToken(r, s);
-    usual_[r.stage == Stage::kWriting].add(now_ - r.sentAt, now_);
+    learn(usual_[r.stage == Stage::kWriting], now_ - r.sentAt);
     releaseReader(r);
     s.queuedTokens -= r.readTokens;
     r.readTokens = 0;
@@ -281,7 +173,7 @@
     learnReport(e.server, e.load);
     Server* s = find(e.server);
     // A probe that waits too long may only stand in a queue; one that cannot connect is a sign of illness.
-    if (s != nullptr && e.outcome == Outcome::kConnectFailed) s->contact.add(2 * kFailureStep, now_);
+    if (s != nullptr && e.outcome == Outcome::kConnectFailed) worsen(s->contact, 2);
   }
 
   void on(const HoldAnswered&) {}  // places are not held ahead: the writer is picked after the read
@@ -333,7 +225,7 @@
 
   // How long an attempt may take before its server counts as silent; in a jam all of them take long.
   double patience(const Request& r) const {
-    const double usual = std::max(r.expected, usual_[r.stage == Stage::kWriting].get(now_, 0));
+    const double usual = std::max(r.expected, figure(usual_[r.stage == Stage::kWriting], 0));
     return std::max(kTimeoutFactor * usual, kSilentShare * (r.aimAt - r.arrived)) * (1 + r.timeouts);
   }
 
@@ -408,9 +300,9 @@
       }
       if (terms > 0) s.score += (sum / terms - s.score) * step;
     }
-    readPrior_ = readCosts_.middle(now_, kReadPrior);
-    waitPrior_ = waits_[true].middle(now_, kWaitPrior);
-    queuePrior_ = waits_[false].middle(now_, 0);
+    readPrior_ = readCosts_.middle(now_ - kSeen, kReadPrior);
+    waitPrior_ = waits_[true].middle(now_ - kSeen, kWaitPrior);
+    queuePrior_ = waits_[false].middle(now_ - kSeen, 0);
   }
 
   bool fresh(const Server& s) const { return now_ - s.reportAt < kReportFresh; }
@@ -419,13 +311,13 @@
   // Seconds a prompt token. What others queue at a reader makes its figure swing; only one that stands out
   // from its peers counts as slow, or sessions would move for noise and lose what their reader keeps.
   double readRate(const Server& s) const {
-    const double own = s.readCost.get(now_, readPrior_);
+    const double own = figure(s.readCost, readPrior_);
     return own > kOutlier * readPrior_ ? own : readPrior_;
   }
 
   double readTime(const Server& s, double tokens) const {
     const double weight = ownWeight(pool(s).queued), all = s.queuedTokens * (1 + (set_.nodes - 1) * weight);
-    return readRate(s) * (all + tokens + kReadFloorTokens) + (1 - weight) * s.wait.get(now_, queuePrior_);
+    return readRate(s) * (all + tokens + kReadFloorTokens) + (1 - weight) * figure(s.wait, queuePrior_);
   }
 
   // What all nodes have at a server, from our own part of it. The less of it there is, the less it tells, and
@@ -434,7 +326,7 @@
     const double weight = ownWeight(mean);
     return own + (set_.nodes - 1) * (weight * own + (1 - weight) * mean);
   }
-  double ownWeight(double mean) const { return mean / (mean + meanPrompt_.get(now_, 1000)); }
+  double ownWeight(double mean) const { return mean / (mean + figure(meanPrompt_, 1000)); }
 
   const Pool& pool(const Server& s) const { return pools_[static_cast<std::size_t>(s.entry.role)]; }
 
@@ -447,22 +339,22 @@
 
   double transferTime(const Server& from, int kind, double tokens) const {
     const auto it = links_.find({from.entry.cell, kind});
-    const double rate = it == links_.end() ? kLinkPrior[kind] : it->second.get(now_, kLinkPrior[kind]);
+    const double rate = it == links_.end() ? kLinkPrior[kind] : figure(it->second, kLinkPrior[kind]);
     return rate * tokens + kFarBias * kind;
   }
 
   // Share of a writer's memory that is held: as reported, else by our own record.
   double filled(const Server& s) const {
     const LoadReport told = fresh(s) ? s.report : LoadReport{};
-    const double all = ofAllNodes(s.heldTokens, pool(s).held) / s.room();
-    return std::max({told.memoryShare.value_or(all), s.heldTokens / s.room(), told.busyShare.value_or(0)});
+    const double all = ofAllNodes(s.heldTokens, pool(s).held) / room(s);
+    return std::max({told.memoryShare.value_or(all), s.heldTokens / room(s), told.busyShare.value_or(0)});
   }
 
   // One with a queue, or that this request would fill, yields to the next.
   double writerWait(const Server& s, const Request& r) const {
-    const double after = filled(s) + r.need / s.room();
+    const double after = filled(s) + r.need / room(s);
     const bool queues = fresh(s) && s.report.queued.value_or(0) >= 1;
-    double wait = s.wait.get(now_, waitPrior_) * (0.5 + s.score) + ill(s, r);
+    double wait = figure(s.wait, waitPrior_) * (0.5 + s.score) + ill(s, r);
     if (after > kNearlyFull || queues) wait += kYieldShare * shortestAim_;
     return wait + 3 * std::max(0.0, after - kNearlyFull);
   }
@@ -566,7 +458,7 @@
   }
 
   double sendWeight(const Request& r) const {
-    return std::max(1.0, r.ask.promptTokens / std::max(1.0, meanPrompt_.get(now_, 1000)));
+    return std::max(1.0, r.ask.promptTokens / std::max(1.0, figure(meanPrompt_, 1000)));
   }
 
   // No effect twice: after an attempt that may have run, an unsafe request goes nowhere and a keyed one only
@@ -606,7 +498,7 @@
   // do so only when nothing else is left.
   Plan planRead(const Request& r, bool strict) {
     Plan best;
-    const Onward onward = planOnward(r);
+    const Onward onward = planOnward(r, true);
     const Server* const home = homeOf(r);
     for (auto& [id, s] : servers_) {
       const bool whole = !s.reads();
@@ -629,17 +521,17 @@
   static std::uint32_t reach(int kind, const Server& s) {
     return kind == 0 ? s.entry.cell : kind == 1 ? s.entry.zone : 0;
   }
-  Onward planOnward(const Request& r) const {
+  Onward planOnward(const Request& r, bool strict) const {
     Onward least;
     for (const auto& [id, s] : servers_) {
-      if (!s.writes() || !mayTake(s, r, true) || !mayRunOn(r, s)) continue;
+      if (!s.writes() || !mayTake(s, r, strict) || !mayRunOn(r, s)) continue;
       const double cost = writerCost(s, r);
       for (int kind = 0; kind < 3; ++kind) {
         double& best = least.try_emplace({kind, reach(kind, s)}, cost).first->second;
         best = std::min(best, cost);
       }
     }
-    return least;
+    return least.empty() && strict ? planOnward(r, false) : least;
   }
 
   double onwardFrom(const Server& s, const Request& r, const Onward& least) const {
@@ -666,7 +558,7 @@
   }
 
   double writerCost(const Server& s, const Request& r) const {
-    const double ahead = s.waiting * s.wait.get(now_, waitPrior_);  // our own that wait there already
+    const double ahead = s.waiting * figure(s.wait, waitPrior_);  // our own that wait there already
     return writerWait(s, r) + ahead + (s.entry.role == Role::kMixed ? kLastResort : 0);
   }
 
@@ -710,7 +602,7 @@
     s.reading += 1;
     keep(r.ask.prefix, s, r.ask.prefixTokens);  // who comes next on this server finds it read
     r.stage = Stage::kReading;
-    send(r, s, plan.time + (plan.whole ? s.wait.get(now_, waitPrior_) : 0));
+    send(r, s, plan.time + (plan.whole ? figure(s.wait, waitPrior_) : 0));
     if (plan.whole) return;
     if (Server* const writer = planWrite(r, s, true).server)
       probe(*writer);  // told of by the end of the read
@@ -728,7 +620,7 @@
       reader->sending += 1;
       return send(
           r, *s,
-          transferTime(*reader, linkKind(*reader, *s), r.ask.promptTokens) + s->wait.get(now_, waitPrior_));
+          transferTime(*reader, linkKind(*reader, *s), r.ask.promptTokens) + figure(s->wait, waitPrior_));
     }
     // Nothing may stay pinned: a state that no writer can take is let go well before the limit.
     if (sec(set_.pinLimit) > 0 && now_ - r.heldSince > 0.6 * sec(set_.pinLimit) - 2 * kSweep) finish(r);
@@ -822,13 +714,13 @@
     if (s == nullptr) return;
     const bool read = e.outcome == Outcome::kPrefilled;
     if (read) {
-      usual_[0].add(sec(e.elapsed), now_);
+      learn(usual_[0], sec(e.elapsed));
       const double fresh = r.ask.promptTokens - e.keptTokens;
       if (s->reads()) learnWait(*s, sec(e.elapsed) - readRate(*s) * (fresh + kReadFloorTokens));
       const double planned = r.expected / readRate(*s) + fresh - (r.ask.promptTokens - r.credit);
       const double cost = sec(e.elapsed) / std::max(kReadFloorTokens, planned);
       readCosts_.add(cost, now_);
-      s->readCost.add(cost, now_);
+      learn(s->readCost, cost);
       served(*s, r);
       keep(r.ask.session, *s, r.ask.promptTokens);
       keep(r.ask.prefix, *s, r.ask.prefixTokens);
@@ -840,7 +732,7 @@
   }
 
   void learnWait(Server& s, double wait) {
-    s.wait.add(std::max(0.0, wait), now_);
+    learn(s.wait, std::max(0.0, wait));
     waits_[s.writes()].add(std::max(0.0, wait), now_);
   }
 
@@ -855,8 +747,8 @@
     if (r.stage == Stage::kReading || reader == nullptr) return;
     const int kind = linkKind(*reader, s);
     if (kind == 0) return learnWait(s, took - transferTime(*reader, kind, r.ask.promptTokens));
-    const double moved = std::max(0.0, took - s.wait.get(now_, waitPrior_)) / (r.ask.promptTokens + 1);
-    links_[{reader->entry.cell, kind}].add(moved, now_);
+    const double moved = std::max(0.0, took - figure(s.wait, waitPrior_)) / (r.ask.promptTokens + 1);
+    learn(links_[{reader->entry.cell, kind}], moved);
   }
 
   // ---- Health ----
@@ -868,32 +760,22 @@
     double least = 1e9;
     for (const int part : r.parts) {
       const auto it = s.illness.find(part);
-      least = std::min(least, it == s.illness.end() ? 0 : it->second.get(now_));
+      least = std::min(least, it == s.illness.end() ? 0 : level(it->second));
     }
-    return std::max(least, s.contact.get(now_));
+    return std::max(least, level(s.contact));
   }
 
   void blame(Server& s, const Request& r, Outcome outcome) {
     const bool contact = outcome == Outcome::kConnectFailed || outcome == Outcome::kReset;
-    if (contact) return s.contact.add(2 * kFailureStep, now_);
+    if (contact) return worsen(s.contact, 2);
     const bool silent = outcome == Outcome::kTimeout;
-    if (silent && tooManyOut(s.entry.role, r)) return;
-    for (const int part : r.parts) s.illness[part].add((silent ? 2 : 1) * kFailureStep, now_);
-  }
-
-  bool tooManyOut(Role role, const Request& r) const {
-    int ejected = 1, all = 0;
-    for (const auto& [id, s] : servers_) {
-      all += s.entry.role == role && s.serving();
-      ejected += s.entry.role == role && s.serving() && illness(s, r) >= kEjectAt;
-    }
-    return 2 * ejected > all;
+    for (const int part : r.parts) worsen(s.illness[part], silent ? 2 : 1);
   }
 
   void recovered(Server& s, const Request& r) {
     s.answeredAt = now_;
-    for (const int part : r.parts) s.illness[part].heal(now_);
-    if (s.contact.get(now_) > kFailureStep / 2) s.coldSince = std::max(s.coldSince, now_);  // slow start
+    for (const int part : r.parts) s.illness[part].set(kHealing * level(s.illness[part]), now_);
+    if (level(s.contact) > kFailureStep / 2) s.coldSince = std::max(s.coldSince, now_);  // slow start
     s.contact = {};
   }
 
@@ -911,6 +793,13 @@
   }
 
   // ---- Small things ----
+  void learn(Learned& figure, double sample) { figure.add(sample, now_, kForget, kMemory); }
+  double figure(const Learned& f, double prior) const { return f.get(now_, prior, kForget, kPriorWeight); }
+  double level(const Fading& f) const { return f.get(now_, kForget); }
+  void worsen(Fading& f, double steps) { f.set(std::min(kMostIll, level(f) + steps * kFailureStep), now_); }
+  static double room(const Server& s) {
+    return s.entry.memoryTokens > 0 ? s.entry.memoryTokens : kMemoryPrior;
+  }
   Server* find(ServerId id) {
     const auto it = servers_.find(id);
     return it == servers_.end() ? nullptr : &it->second;
