--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -28,14 +28,13 @@
 constexpr double kReadPrior = 1e-4;       // reading, a token
 constexpr double kReadFloorTokens = 300;  // a read's fixed cost, as tokens
 constexpr double kOutlier = 1.7;          // a reader this much slower than its peers counts as slow
-constexpr double kQueueShare = 0.4;       // of the shortest aim that a reader's queue may take
 constexpr double kSeen = 4;               // how long a sample tells of all servers of its role
 constexpr double kScoreTime = 0.1;        // what a reader's load score of 1 weighs
 constexpr double kMissWeight = 1;         // what reading a token anew costs those who come after
 constexpr double kWaitPrior = 0.05;       // a writer's wait before the first token
 constexpr double kLinkPrior[] = {5e-6, 2e-5, 4e-5};  // a state's move, a token: cell, zone, beyond
 constexpr double kFarBias = 0.02;                    // prices of leaving the cell or the zone, as time
-constexpr double kKeepFor = 40;                      // ageing of the prefix table
+constexpr double kKeepFor = 60;                      // ageing of the prefix table
 constexpr std::size_t kMostKept = 50000;             // its entries before old ones are dropped
 constexpr double kHomeKeeps = 0.75;     // share of a prompt taken to be kept at its session's home
 constexpr double kNearHome = 3;         // odds that a home lies in our zone, a server
@@ -44,8 +43,9 @@
 constexpr int kMostHeldTried = 16;      // requests that may stay before a pass over our queue ends
 constexpr double kNearlyFull = 0.9;     // a writer's memory share from which it yields
 constexpr double kYieldShare = 0.3;     // cost of a writer that should yield, of the shortest aim
-constexpr double kLetIn = 0.6;          // of its aim that a first token may be expected to take to be let in
+constexpr double kLetIn = 0.5;          // of its aim that a first token may be expected to take to be let in
 constexpr double kOverShareRoom = 0.4;  // ... and of that, for those beyond their tenant's share
+constexpr double kRecent = 1.5;         // how long a send is taken not to show in the reports yet
 constexpr double kTimeoutFactor = 3;    // a time-out against the time expected of the work
 constexpr double kSilentShare = 0.35;   // ... and, at least, against the request's aim
 constexpr double kTryShare = 0.6;      // of the time left that one attempt may take while others could follow
@@ -68,7 +68,7 @@
 
 class Policy::Impl {
  public:
-  explicit Impl(Settings settings) : set_(std::move(settings)), random_(set_.seed | 1) {
+  explicit Impl(Settings settings) : set_(std::move(settings)), random_(set_.seed) {
     for (const ClassSettings& c : set_.classes) shortestAim_ = std::min(shortestAim_, sec(c.aim));
     for (const TenantSettings& t : set_.tenants) buckets_.push_back({2 * t.quotaPerSecond / set_.nodes, 0});
   }
@@ -101,7 +101,6 @@
     const auto [it, added] = servers_.try_emplace(entry.id);
     Server& s = it->second;
     const bool restarted = entry.startedAt && (added || entry.startedAt != s.entry.startedAt);
-    if (added) s.nextProbe = now_ + draw() * 0.5;
     if (restarted && !added) {  // an empty, cold process: nothing learned of the last one holds
       static_cast<Process&>(s) = Process{};
     }
@@ -278,8 +277,6 @@
   }
 
   void updateScores() {
-    const double step = 1 - std::exp(-(now_ - scoredAt_) / kScoreWindow);
-    scoredAt_ = now_;
     std::map<Role, std::array<std::pair<double, double>, 5>> totals;  // of each role: sums and counts
     for (const auto& [id, s] : servers_) {
       const Indicators told = indicators(s);
@@ -298,7 +295,7 @@
         sum += i > 2 ? mine : mean > 0 ? mine / (mine + mean) : 0.5;
         terms += 1;
       }
-      if (terms > 0) s.score += (sum / terms - s.score) * step;
+      if (terms > 0) s.score += (sum / terms - s.score) * kSweep / kScoreWindow;
     }
     readPrior_ = readCosts_.middle(now_ - kSeen, kReadPrior);
     waitPrior_ = waits_[true].middle(now_ - kSeen, kWaitPrior);
@@ -347,7 +344,9 @@
   double filled(const Server& s) const {
     const LoadReport told = fresh(s) ? s.report : LoadReport{};
     const double all = ofAllNodes(s.heldTokens, pool(s).held) / room(s);
-    return std::max({told.memoryShare.value_or(all), s.heldTokens / room(s), told.busyShare.value_or(0)});
+    const double since = std::min(all, s.recent.get(now_, kRecent) * set_.nodes / 2 / room(s));
+    return std::max({told.memoryShare ? *told.memoryShare + since : all, s.heldTokens / room(s),
+                     told.busyShare.value_or(0)});
   }
 
   // One with a queue, or that this request would fill, yields to the next.
@@ -382,8 +381,8 @@
     double first = 1e18;
     for (const auto& [id, s] : servers_) {
       if (!s.serving() || s.entry.role == Role::kDecode || r.ask.session == 0) continue;
-      const double u = static_cast<double>((mixed(r.ask.session, id) >> 11) + 1) * 0x1.0p-53;
-      const double place = -std::log(u) / (s.entry.zone == set_.zone ? kNearHome : 1);
+      const double lot = std::max(1e-18, unitOf(hashOf(r.ask.session, id.value)));
+      const double place = -std::log(lot) / (s.entry.zone == set_.zone ? kNearHome : 1);
       if (place >= first) continue;
       first = place;
       home = &s;
@@ -565,14 +564,7 @@
   // Order among equals: the same shared prefix leads every node to the same reader; writers spread by
   // session.
   static std::uint64_t tie(const Request& r, const Server& s) {
-    return mixed(r.ask.prefix != 0 && s.reads() ? r.ask.prefix : r.ask.session, s.entry.id);
-  }
-
-  static std::uint64_t mixed(std::uint64_t key, ServerId id) {
-    std::uint64_t x = key ^ (id.value * 0x9e3779b97f4a7c15ULL);
-    x = (x ^ (x >> 30)) * 0xbf58476d1ce4e5b9ULL;
-    x = (x ^ (x >> 27)) * 0x94d049bb133111ebULL;
-    return x ^ (x >> 31);
+    return hashOf(r.ask.prefix != 0 && s.reads() ? r.ask.prefix : r.ask.session, s.entry.id.value);
   }
 
   // ---- A request's life ----
@@ -584,8 +576,7 @@
       if (now_ + plan.time >= r.deadline || r.sends + (plan.whole ? 1 : 2) > set_.maxAttempts)
         return finish(r), true;
       const double most = kLetIn * (r.aimAt - r.arrived) * (r.overShare ? kOverShareRoom : 1);
-      const bool shallow = readTime(*plan.server, 0) <= kQueueShare * shortestAim_;
-      if (shallow && plan.time + plan.onward <= most) return sendRead(r, plan), true;
+      if (plan.time + plan.onward <= most) return sendRead(r, plan), true;
     }
     // Long queues at readers push out the text they keep and so slow them further. Waiting here costs no
     // server anything, but what cannot come in time is refused early.
@@ -633,7 +624,10 @@
     r.expected = expected;
     r.calledOff = false;
     ++r.sends;
-    if (runsEffect(r)) s.heldTokens += r.need;
+    if (runsEffect(r)) {
+      s.heldTokens += r.need;
+      s.recent.set(s.recent.get(now_, kRecent) + r.need, now_);
+    }
     s.coldSends.emplace_back(now_, sendWeight(r));
     while (s.coldSends.front().first < now_ - sec(set_.coldWarmAfter)) s.coldSends.pop_front();
     // Where attempts can be called off, silence ends them; the time-out only leaves room for another try.
@@ -769,9 +763,19 @@
     const bool contact = outcome == Outcome::kConnectFailed || outcome == Outcome::kReset;
     if (contact) return worsen(s.contact, 2);
     const bool silent = outcome == Outcome::kTimeout;
+    if (silent && tooManyOut(s.entry.role, r)) return;
     for (const int part : r.parts) worsen(s.illness[part], silent ? 2 : 1);
   }
 
+  bool tooManyOut(Role role, const Request& r) const {
+    int ejected = 1, all = 0;
+    for (const auto& [id, s] : servers_) {
+      all += s.entry.role == role && s.serving();
+      ejected += s.entry.role == role && s.serving() && illness(s, r) >= kEjectAt;
+    }
+    return 2 * ejected > all;
+  }
+
   void recovered(Server& s, const Request& r) {
     s.answeredAt = now_;
     for (const int part : r.parts) s.illness[part].set(kHealing * level(s.illness[part]), now_);
@@ -806,17 +810,11 @@
   }
   const ClassSettings& classOf(const Request& r) const { return set_.classes.at(r.ask.classIndex); }
   void act(Action action) { out_->push_back(std::move(action)); }
-  double draw() {
-    random_ ^= random_ << 13;
-    random_ ^= random_ >> 7;
-    random_ ^= random_ << 17;
-    return static_cast<double>(random_ >> 11) * 0x1.0p-53;
-  }
+  double draw() { return unitOf(random_ = hashOf(random_, 1)); }
 
   Settings set_;
   std::uint64_t random_;
-  double now_ = 0, scoredAt_ = 0;
-  double shortestAim_ = 1e9;
+  double now_ = 0, shortestAim_ = 1e9;
   bool started_ = false;
   std::vector<Action>* out_ = nullptr;
   std::map<ServerId, Server> servers_;
--- a/src/records.h
+++ b/src/records.h
@@ -19,6 +19,7 @@
   Learned readCost, wait;
   double overdue = 0;             // how far its oldest unanswered attempt is past what was expected
   double answeredAt = -1e9;       // when it last finished a read or began an answer
+  Fading recent;                  // tokens sent to it lately: not in its reports yet
   Fading contact;                 // connections that failed or broke
   std::map<int, Fading> illness;  // by class (from 0) and tenant (below 0)
 };
--- a/src/statistics.h
+++ b/src/statistics.h
@@ -1,8 +1,9 @@
-// Small statistics. They hold no tuned value: what to forget and when is told by the caller.
+// Small statistics and hashing. They hold no tuned value: what to forget and when is told by the caller.
 #pragma once
 
 #include <algorithm>
 #include <cmath>
+#include <cstdint>
 #include <deque>
 #include <utility>
 #include <vector>
@@ -55,4 +56,15 @@
   double level_ = 0, at_ = 0;
 };
 
+// A well-mixed number of a key and an id, alike on every node.
+inline std::uint64_t hashOf(std::uint64_t key, std::uint64_t id) {
+  std::uint64_t x = key ^ (id * 0x9e3779b97f4a7c15ULL);
+  x = (x ^ (x >> 30)) * 0xbf58476d1ce4e5b9ULL;
+  x = (x ^ (x >> 27)) * 0x94d049bb133111ebULL;
+  return x ^ (x >> 31);
+}
+
+// A hash as a number from 0 up to 1.
+inline double unitOf(std::uint64_t hash) { return static_cast<double>(hash >> 11) * 0x1.0p-53; }
+
 }  // namespace gannetcourse
