--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -8,12 +8,13 @@
 #include <algorithm>
 #include <array>
 #include <cmath>
-#include <deque>
 #include <map>
 #include <set>
 #include <unordered_map>
 #include <utility>
 
+#include "records.h"
+
 namespace gannetcourse {
 namespace {
 
@@ -27,121 +28,47 @@
 constexpr double kReadPrior = 1e-4;       // reading, a token
 constexpr double kReadFloorTokens = 300;  // a read's fixed cost, as tokens
 constexpr double kOutlier = 1.7;          // a reader this much slower than its peers counts as slow
-constexpr double kQueueShare = 0.15;      // of the shortest aim that a reader's queue may take
+constexpr double kSeen = 4;               // how long a sample tells of all servers of its role
 constexpr double kScoreTime = 0.1;        // what a reader's load score of 1 weighs
 constexpr double kMissWeight = 1;         // what reading a token anew costs those who come after
 constexpr double kWaitPrior = 0.05;       // a writer's wait before the first token
 constexpr double kLinkPrior[] = {5e-6, 2e-5, 4e-5};  // a state's move, a token: cell, zone, beyond
 constexpr double kFarBias = 0.02;                    // prices of leaving the cell or the zone, as time
-constexpr double kKeepFor = 120;                     // ageing of the prefix table
+constexpr double kKeepFor = 60;                      // ageing of the prefix table
 constexpr std::size_t kMostKept = 50000;             // its entries before old ones are dropped
-constexpr double kMemoryPrior = 2e5;                 // tokens, of a server that does not tell its memory
-constexpr double kLastResort = 100;                  // cost of having a pure writer read
+constexpr double kHomeKeeps = 0.75;     // share of a prompt taken to be kept at its session's home
+constexpr double kNearHome = 3;         // odds that a home lies in our zone, a server
+constexpr double kMemoryPrior = 2e5;    // tokens, of a server that does not tell its memory
+constexpr double kLastResort = 100;     // cost of having a pure writer read
 constexpr int kMostHeldTried = 16;      // requests that may stay before a pass over our queue ends
 constexpr double kNearlyFull = 0.9;     // a writer's memory share from which it yields
 constexpr double kYieldShare = 0.3;     // cost of a writer that should yield, of the shortest aim
-constexpr double kWriterShare = 0.25;   // writers' wait up to which requests are let in, of the shortest aim
+constexpr double kLetIn = 0.5;          // of its aim that a first token may be expected to take to be let in
 constexpr double kOverShareRoom = 0.4;  // ... and of that, for those beyond their tenant's share
 constexpr double kRecent = 1.5;         // how long a send is taken not to show in the reports yet
 constexpr double kTimeoutFactor = 3;    // a time-out against the time expected of the work
 constexpr double kSilentShare = 0.35;   // ... and, at least, against the request's aim
 constexpr double kTryShare = 0.6;      // of the time left that one attempt may take while others could follow
-constexpr double kEjectAt = 0.5;       // failure level that ejects a server
-constexpr double kFailureStep = 0.34;  // what one outcome moves it
-constexpr double kEjectFirst = 1;      // ejection time, doubled at each further one ...
-constexpr double kEjectMost = 8;       // ... up to this
-constexpr double kFullPause = 0.15;    // a server that refused for a full queue is passed over for this
+constexpr double kEjectAt = 0.5;       // illness from which a server is passed over
+constexpr double kFailureStep = 0.34;  // what a failure adds to it; silence and lost contact add twice that
+constexpr double kMostIll = 1.4;       // the most that it can be
+constexpr double kHealing = 0.6;       // share of it that a success leaves
 constexpr double kColdUnknown = 2;     // requests a window, of all nodes, that a cold server bears surely
 constexpr double kColdMemory = 60;     // how long the most that servers took is remembered
 constexpr double kColdSafety = 0.6;    // share of the cold budget that is used
 constexpr double kProbeOften = 0.4;    // a server is probed no more often than this
 constexpr double kProbeBudget = 0.004;  // result that probing may cost
+constexpr double kMostProbes = 4;       // probes that may be saved up
 constexpr char kAskTimer[] = "ask";
 constexpr double kAskAgain = 0.7;  // pause after a failed discovery call
 
 double sec(Duration d) { return d.count(); }
 
-// A figure learned from samples: recent ones count most, and without new ones it fades towards `prior`.
-class Learned {
- public:
-  explicit Learned(double forget = kForget) : forget_(forget) {}
-  void add(double sample, double now) {
-    weight_ = std::min(weightAt(now) + 1, kMemory);
-    value_ += (sample - value_) / weight_;
-    at_ = now;
-  }
-  double get(double now, double prior) const {
-    const double weight = weightAt(now);
-    return (value_ * weight + prior * kPriorWeight) / (weight + kPriorWeight);
-  }
-  bool known(double now) const { return weightAt(now) > kPriorWeight; }
-
- private:
-  double weightAt(double now) const { return weight_ * std::exp((at_ - now) / forget_); }
-  double forget_;
-  double value_ = 0, weight_ = 0, at_ = 0;
-};
-
-// What is known of a server's process; a restart wipes it.
-struct Process {
-  LoadReport report;
-  double reportAt = -1e9, score = 0.5;
-  Learned readCost{kForget}, wait{kScoreWindow};
-  Learned trust{kForget};                 // share of the credited prompt tokens found kept
-  double readVolume = 0;                  // prompt tokens that it has read anew for us
-  double recentTokens = 0, recentAt = 0;  // sent to it lately, fading: not in its reports yet
-  double overdue = 0;                     // how far its oldest unanswered attempt is past what was expected
-  double answeredAt = -1e9;               // when it last finished a read or began an answer
-  double failures = 0, ejectedUntil = -1e9, fullUntil = -1e9;
-  int strikes = 0;
-  bool trial = false, lostContact = false;
-};
-
-struct Server : Process {
-  ServerEntry entry;
-  int generation = 0;  // counts restarts: what an earlier process kept is gone
-  int reading = 0, waiting = 0, streaming = 0, sending = 0;  // our own record of work out
-  double queuedTokens = 0, heldTokens = 0;                   // prompt tokens to read; states and streams
-  double coldSince = -1e9, nextProbe = 0;
-  std::deque<std::pair<double, double>> coldSends;  // time and weight of the sends of a warming time
-
-  bool serving() const { return entry.state == ServerEntry::State::kServing; }
-  double room() const { return entry.memoryTokens > 0 ? entry.memoryTokens : kMemoryPrior; }
-  bool idle() const { return reading + waiting + streaming + sending == 0; }
-  bool reads() const { return entry.role == Role::kPrefill; }
-  bool writes() const { return entry.role == Role::kDecode || entry.role == Role::kMixed; }
-  int unanswered() const { return reading + waiting; }
-};
-
-enum class Stage { kQueued, kReading, kHolding, kWriting, kStreaming };
-
-struct Request {
-  RequestArrived ask;
-  double arrived = 0, deadline = 0, aimAt = 0;
-  bool overShare = false, answered = false;
-  Stage stage = Stage::kQueued;
-  int sends = 0, timeouts = 0, writerFailures = 0;
-  bool out = false, whole = false, calledOff = false;  // an attempt is out, reads and writes, was cancelled
-  ServerId server, reader;                             // of the last attempt; where the state waits
-  double sentAt = 0, expected = 0, heldSince = 0, credit = 0;
-  double readTokens = 0, planTokens = 1, need = 0;  // to read; in the estimate; of a writer's memory
-  bool mayHaveRun = false;  // some attempt may have had its effect; the first was sent then and there
-  double firstRunAt = 0;
-  ServerEntry ranOn;
-  std::vector<ServerId> failedOn;
-};
-
-struct Kept {
-  ServerId server;
-  int generation;
-  double tokens, at, volume;
-};
-
 }  // namespace
 
 class Policy::Impl {
  public:
-  explicit Impl(Settings settings) : set_(std::move(settings)), random_(set_.seed | 1) {
+  explicit Impl(Settings settings) : set_(std::move(settings)), random_(set_.seed) {
     for (const ClassSettings& c : set_.classes) shortestAim_ = std::min(shortestAim_, sec(c.aim));
     for (const TenantSettings& t : set_.tenants) buckets_.push_back({2 * t.quotaPerSecond / set_.nodes, 0});
   }
@@ -174,12 +101,14 @@
     const auto [it, added] = servers_.try_emplace(entry.id);
     Server& s = it->second;
     const bool restarted = entry.startedAt && (added || entry.startedAt != s.entry.startedAt);
-    if (added) s.nextProbe = now_ + draw() * 0.5;
     if (restarted && !added) {  // an empty, cold process: nothing learned of the last one holds
-      ++s.generation;
       static_cast<Process&>(s) = Process{};
     }
-    if (restarted) s.coldSince = std::max(s.coldSince, entry.startedAt->time_since_epoch().count());
+    if (restarted) {
+      s.coldSince = std::max(s.coldSince, entry.startedAt->time_since_epoch().count());
+      s.startSeen = now_;
+      s.coldPhase = draw();
+    }
     s.entry = entry;
   }
 
@@ -192,9 +121,11 @@
     r.aimAt = std::min(r.deadline, now_ + sec(c.aim) + sec(c.aimPerToken) * ask.promptTokens);
     r.need = ask.promptTokens + expectedOutput(r);
     r.overShare = !withinShare(ask);
-    if (lastArrival_ > 0) gap_.add(now_ - lastArrival_, now_);
-    lastArrival_ = now_;
-    meanPrompt_.add(ask.promptTokens, now_);
+    r.parts = {static_cast<int>(ask.classIndex)};
+    if (ask.tenant) r.parts.push_back(-1 - static_cast<int>(*ask.tenant));
+    learn(meanPrompt_, ask.promptTokens);
+    if (set_.probePrice > 0) probes_ = std::min(kMostProbes, probes_ + kProbeBudget / set_.probePrice);
+    if (now_ + margin() >= r.deadline) return finish(r);  // too late for anything but an answer
     enqueue(r);
   }
 
@@ -226,21 +157,22 @@
     Request& r = it->second;
     Server& s = servers_[e.server];
     learnFirstToken(r, s);
-    usual_[r.stage == Stage::kWriting].add(now_ - r.sentAt, now_);
+    learn(usual_[r.stage == Stage::kWriting], now_ - r.sentAt);
     releaseReader(r);
     s.queuedTokens -= r.readTokens;
     r.readTokens = 0;
     (r.stage == Stage::kReading ? s.reading : s.waiting) -= 1;
     s.streaming += 1;
     r.stage = Stage::kStreaming;
-    recovered(s);
+    served(s, r);
+    recovered(s, r);
   }
 
   void on(const ProbeEnded& e) {
     learnReport(e.server, e.load);
     Server* s = find(e.server);
     // A probe that waits too long may only stand in a queue; one that cannot connect is a sign of illness.
-    if (s != nullptr && e.outcome == Outcome::kConnectFailed) blame(*s, e.outcome);
+    if (s != nullptr && e.outcome == Outcome::kConnectFailed) worsen(s->contact, 2);
   }
 
   void on(const HoldAnswered&) {}  // places are not held ahead: the writer is picked after the read
@@ -255,8 +187,8 @@
   void sweep() {
     act(SetTimer{Instant(Duration(now_ + kSweep)), "sweep"});
     watchRequests();
+    updatePools();
     updateScores();
-    updateTaken();
     drainQueue();
     probeServers();
     std::erase_if(servers_, [](const auto& e) {
@@ -271,11 +203,10 @@
   // stall or a cut link: a server whose work is out for longer than expected is avoided early, and its
   // attempts are called off while others could follow. A burst of long prompts may trip it briefly.
   void watchRequests() {
-    const double margin = kSweep + 2 * sec(set_.tick) + 0.002;
     for (auto& [id, s] : servers_) s.overdue = 0;
     for (auto& [id, r] : requests_) {
       if (r.answered || r.stage == Stage::kStreaming) continue;
-      if (now_ + margin >= r.deadline) {
+      if (now_ + margin() >= r.deadline) {
         finish(r);
       } else if (r.stage == Stage::kHolding) {
         pickWriterOrHold(r);
@@ -289,9 +220,11 @@
     }
   }
 
+  double margin() const { return kSweep + 2 * sec(set_.tick) + 0.002; }
+
   // How long an attempt may take before its server counts as silent; in a jam all of them take long.
   double patience(const Request& r) const {
-    const double usual = std::max(r.expected, usual_[r.stage == Stage::kWriting].get(now_, 0));
+    const double usual = std::max(r.expected, figure(usual_[r.stage == Stage::kWriting], 0));
     return std::max(kTimeoutFactor * usual, kSilentShare * (r.aimAt - r.arrived)) * (1 + r.timeouts);
   }
 
@@ -318,20 +251,22 @@
     }
   }
 
-  // Probes serve the load reports. Their rate keeps what they cost under a fixed part of the result.
+  // Probes serve the load reports. What they may cost is saved up by the request: first come the writers that
+  // a read in hand would go to, what is left looks round.
   void probeServers() {
-    if (!set_.probesAllowed || set_.reporting == Reporting::kNone) return;
-    double writers = 0;
-    for (const auto& [id, s] : servers_) writers += s.serving() && !s.reads();
-    const double each = writers * set_.probePrice / kProbeBudget * gap_.get(now_, 1);
-    const double interval = std::clamp(each, kProbeOften, kReportFresh);
     for (auto& [id, s] : servers_) {
-      if (!s.serving() || s.reads() || now_ < s.nextProbe) continue;
-      s.nextProbe = now_ + interval;
-      act(Probe{id});
+      if (probes_ >= kMostProbes / 2) probe(s);
     }
   }
 
+  void probe(Server& s) {
+    if (!set_.probesAllowed || set_.reporting == Reporting::kNone || !s.serving() || s.reads()) return;
+    if (now_ < s.nextProbe || (set_.probePrice > 0 && probes_ < 1)) return;
+    if (set_.probePrice > 0) probes_ -= 1;
+    s.nextProbe = now_ + kProbeOften;
+    act(Probe{s.entry.id});
+  }
+
   // ---- The load score ----
   // Equal weights over the indicators at hand, each brought to 0..1 and smoothed; an indicator that a server
   // has not told counts as the average of its role.
@@ -342,8 +277,6 @@
   }
 
   void updateScores() {
-    const double step = 1 - std::exp(-(now_ - scoredAt_) / kScoreWindow);
-    scoredAt_ = now_;
     std::map<Role, std::array<std::pair<double, double>, 5>> totals;  // of each role: sums and counts
     for (const auto& [id, s] : servers_) {
       const Indicators told = indicators(s);
@@ -362,21 +295,11 @@
         sum += i > 2 ? mine : mean > 0 ? mine / (mine + mean) : 0.5;
         terms += 1;
       }
-      if (terms > 0) s.score += (sum / terms - s.score) * step;
+      if (terms > 0) s.score += (sum / terms - s.score) * kSweep / kScoreWindow;
     }
-    readPrior_ = median(Role::kPrefill, &Server::readCost, kReadPrior);
-    waitPrior_ = median(Role::kDecode, &Server::wait, kWaitPrior);
-  }
-
-  double median(Role role, Learned Server::*figure, double otherwise) const {
-    std::vector<double> values;
-    for (const auto& [id, s] : servers_) {
-      if ((s.entry.role == role || s.entry.role == Role::kMixed) && s.serving() && (s.*figure).known(now_))
-        values.push_back((s.*figure).get(now_, otherwise));
-    }
-    if (values.empty()) return otherwise;
-    std::nth_element(values.begin(), values.begin() + static_cast<long>(values.size() / 2), values.end());
-    return values[values.size() / 2];
+    readPrior_ = readCosts_.middle(now_ - kSeen, kReadPrior);
+    waitPrior_ = waits_[true].middle(now_ - kSeen, kWaitPrior);
+    queuePrior_ = waits_[false].middle(now_ - kSeen, 0);
   }
 
   bool fresh(const Server& s) const { return now_ - s.reportAt < kReportFresh; }
@@ -385,44 +308,53 @@
   // Seconds a prompt token. What others queue at a reader makes its figure swing; only one that stands out
   // from its peers counts as slow, or sessions would move for noise and lose what their reader keeps.
   double readRate(const Server& s) const {
-    const double own = s.readCost.get(now_, readPrior_);
+    const double own = figure(s.readCost, readPrior_);
     return own > kOutlier * readPrior_ ? own : readPrior_;
   }
 
   double readTime(const Server& s, double tokens) const {
-    const double queued = s.queuedTokens * set_.nodes;
-    return readRate(s) * (queued + tokens + kReadFloorTokens);
+    const double weight = ownWeight(pool(s).queued), all = s.queuedTokens * (1 + (set_.nodes - 1) * weight);
+    return readRate(s) * (all + tokens + kReadFloorTokens) + (1 - weight) * figure(s.wait, queuePrior_);
+  }
+
+  // What all nodes have at a server, from our own part of it. The less of it there is, the less it tells, and
+  // the more counts what we have at its peers (a Poisson count with a gamma prior round their mean).
+  double ofAllNodes(double own, double mean) const {
+    const double weight = ownWeight(mean);
+    return own + (set_.nodes - 1) * (weight * own + (1 - weight) * mean);
   }
+  double ownWeight(double mean) const { return mean / (mean + figure(meanPrompt_, 1000)); }
+
+  const Pool& pool(const Server& s) const { return pools_[static_cast<std::size_t>(s.entry.role)]; }
 
-  double ill(const Server& s) const { return s.failures + std::max(0.0, s.overdue); }
+  double ill(const Server& s, const Request& r) const { return illness(s, r) + std::max(0.0, s.overdue); }
 
   static int linkKind(const Server& from, const Server& to) {
     if (from.entry.zone != to.entry.zone) return 2;
     return from.entry.cell == to.entry.cell ? 0 : 1;
   }
 
-  double transferTime(const Server& from, const Server& to, double tokens) const {
-    const int kind = linkKind(from, to);
+  double transferTime(const Server& from, int kind, double tokens) const {
     const auto it = links_.find({from.entry.cell, kind});
-    const double rate = it == links_.end() ? kLinkPrior[kind] : it->second.get(now_, kLinkPrior[kind]);
+    const double rate = it == links_.end() ? kLinkPrior[kind] : figure(it->second, kLinkPrior[kind]);
     return rate * tokens + kFarBias * kind;
   }
 
-  // Share of a writer's memory that is held: as reported and sent since, else our own times the nodes.
+  // Share of a writer's memory that is held: as reported, else by our own record.
   double filled(const Server& s) const {
     const LoadReport told = fresh(s) ? s.report : LoadReport{};
-    const double recent = s.recentTokens * std::exp((s.recentAt - now_) / kRecent) * set_.nodes / 2;
-    const double since = (told.memoryShare ? recent : s.heldTokens * set_.nodes) / s.room();
-    return std::max(
-        {told.memoryShare.value_or(0) + since, s.heldTokens / s.room(), told.busyShare.value_or(0)});
+    const double all = ofAllNodes(s.heldTokens, pool(s).held) / room(s);
+    const double since = std::min(all, s.recent.get(now_, kRecent) * set_.nodes / 2 / room(s));
+    return std::max({told.memoryShare ? *told.memoryShare + since : all, s.heldTokens / room(s),
+                     told.busyShare.value_or(0)});
   }
 
   // One with a queue, or that this request would fill, yields to the next.
   double writerWait(const Server& s, const Request& r) const {
-    const double after = filled(s) + r.need / s.room();
+    const double after = filled(s) + r.need / room(s);
     const bool queues = fresh(s) && s.report.queued.value_or(0) >= 1;
-    double wait = s.wait.get(now_, waitPrior_) * (0.5 + s.score) + ill(s);
-    if (after > kNearlyFull || queues || now_ < s.fullUntil) wait += kYieldShare * shortestAim_;
+    double wait = figure(s.wait, waitPrior_) * (0.5 + s.score) + ill(s, r);
+    if (after > kNearlyFull || queues) wait += kYieldShare * shortestAim_;
     return wait + 3 * std::max(0.0, after - kNearlyFull);
   }
 
@@ -433,21 +365,37 @@
   }
 
   // ---- The prefix table ----
-  double credit(const Server& s, const Request& r) const {
-    const double most =
+  // What the server is taken to keep of a prompt: by our own record, or as the home of its session. With many
+  // nodes a session's turns come to different ones; its home is where all of them send what they know nothing
+  // of. That only holds while all do, so it is no learned figure.
+  double credit(const Server& s, const Request& r, const Server* home) const {
+    const double own =
         std::max(keptAt(r.ask.session, s), std::min(keptAt(r.ask.prefix, s), r.ask.prefixTokens));
-    return std::min(most, r.ask.promptTokens) * std::min(1.0, s.trust.get(now_, 1));
+    return std::min(r.ask.promptTokens, std::max(own, &s == home ? kHomeKeeps * r.ask.promptTokens : 0));
   }
 
-  // Tokens of a text that a server still keeps. They age by what it has read since, by our record as if every
-  // node sent as much: new text pushes old text out of its memory.
+  // The home of a session: rendezvous hashing over the readers, alike on all nodes of a zone, with better
+  // odds for those near.
+  const Server* homeOf(const Request& r) const {
+    const Server* home = nullptr;
+    double first = 1e18;
+    for (const auto& [id, s] : servers_) {
+      if (!s.serving() || s.entry.role == Role::kDecode || r.ask.session == 0) continue;
+      const double lot = std::max(1e-18, unitOf(hashOf(r.ask.session, id.value)));
+      const double place = -std::log(lot) / (s.entry.zone == set_.zone ? kNearHome : 1);
+      if (place >= first) continue;
+      first = place;
+      home = &s;
+    }
+    return home;
+  }
+
+  // Tokens of a text that a server still keeps. They age: new text pushes old text out of its memory.
   double keptAt(std::uint64_t key, const Server& s) const {
     const auto it = key == 0 ? kept_.end() : kept_.find(key);
     if (it == kept_.end()) return 0;
     for (const Kept& k : it->second) {
-      if (k.server != s.entry.id || k.generation != s.generation) continue;
-      const double pushed = (s.readVolume - k.volume) * set_.nodes / s.room();
-      return k.tokens * std::exp((k.at - now_) / kKeepFor - pushed * pushed);
+      if (k.server == s.entry.id && k.at >= s.startSeen) return k.tokens * std::exp((k.at - now_) / kKeepFor);
     }
     return 0;
   }
@@ -456,7 +404,7 @@
     if (key == 0 || tokens <= 0) return;
     std::vector<Kept>& list = kept_[key];
     std::erase_if(list, [&](const Kept& k) { return k.server == s.entry.id || k.at < now_ - kKeepFor; });
-    list.push_back({s.entry.id, s.generation, tokens, now_, s.readVolume});
+    list.push_back({s.entry.id, tokens, now_});
   }
 
   // ---- Who may be sent what ----
@@ -464,39 +412,52 @@
   bool mayTake(const Server& s, const Request& r, bool strict) const {
     if (!s.serving() || !withinColdBudget(s, r)) return false;
     if (!strict) return true;
-    if (now_ < s.ejectedUntil || (s.trial && s.unanswered() > 0) || now_ < s.fullUntil) return false;
+    const double level = illness(s, r);
+    if (level >= kEjectAt || (level >= kEjectAt / 2 && s.unanswered() > 0)) return false;
     return std::find(r.failedOn.begin(), r.failedOn.end(), s.entry.id) == r.failedOn.end();
   }
 
   // A cold server gets no more than this node's part of what it can do, in any window; where that is less
-  // than one request, one in a longer time. The most that the role's servers took from us on average stands
+  // than one request, one in a longer time, and the first after a part of that time by lot: nodes that hear
+  // of it together must not all greet it. The most that the role's servers served for us on average stands
   // for a warm one. Servers back from lost contact count as cold: they may be new.
   bool withinColdBudget(const Server& s, const Request& r) const {
     const double age = std::max(0.0, now_ - s.coldSince), warm = sec(set_.coldWarmAfter);
     if (age >= warm) return true;
     const double able = set_.coldStartCapacity + (1 - set_.coldStartCapacity) / 2 * age / warm;
-    const double taken = taken_[static_cast<std::size_t>(s.entry.role)] * sec(set_.coldWindow);
-    const double part = kColdSafety * set_.coldOverloadFactor * able * taken;
+    const double part = kColdSafety * set_.coldOverloadFactor * able * pool(s).most * sec(set_.coldWindow);
     const double budget = std::max(part, std::min(1.0, kColdUnknown / set_.nodes)), weight = sendWeight(r);
     const double span = sec(set_.coldWindow) * std::max(1.0, weight / budget);
+    if (budget < weight && now_ - s.startSeen < s.coldPhase * span) return false;
     double spent = 0;
     for (const auto& [at, sent] : s.coldSends) spent += at > now_ - span ? sent : 0;
     return spent + weight <= std::max(budget, weight);
   }
 
-  // What each server of a role takes from us on average, in weights a second: the most seen lately.
-  void updateTaken() {
-    for (std::size_t role = 0; role < taken_.size(); ++role) {
-      double servers = 0;
-      for (const auto& [id, s] : servers_) servers += s.entry.role == static_cast<Role>(role) && s.serving();
-      rates_[role] += (std::exchange(sent_[role], 0) - rates_[role] * kSweep) / kForget;
-      taken_[role] =
-          std::max(rates_[role] / std::max(1.0, servers), taken_[role] * (1 - kSweep / kColdMemory));
+  void updatePools() {
+    std::array<Pool, 4> now{};
+    for (const auto& [id, s] : servers_) {
+      Pool& p = now[static_cast<std::size_t>(s.entry.role)];
+      p.servers += s.serving();
+      p.queued += s.queuedTokens;
+      p.held += s.heldTokens;
     }
+    for (std::size_t role = 0; role < pools_.size(); ++role) {
+      Pool& p = pools_[role];
+      p.servers = std::max(1.0, now[role].servers);
+      p.queued += (now[role].queued / p.servers - p.queued) * kSweep / kForget;
+      p.held += (now[role].held / p.servers - p.held) * kSweep / kForget;
+      p.rate += (std::exchange(p.served, 0) / p.servers - p.rate * kSweep) / kForget;
+      p.most = std::max(p.rate, p.most * (1 - kSweep / kColdMemory));
+    }
+  }
+
+  void served(const Server& s, const Request& r) {
+    pools_[static_cast<std::size_t>(s.entry.role)].served += sendWeight(r);
   }
 
   double sendWeight(const Request& r) const {
-    return std::max(1.0, r.ask.promptTokens / std::max(1.0, meanPrompt_.get(now_, 1000)));
+    return std::max(1.0, r.ask.promptTokens / std::max(1.0, figure(meanPrompt_, 1000)));
   }
 
   // No effect twice: after an attempt that may have run, an unsafe request goes nowhere and a keyed one only
@@ -520,7 +481,7 @@
   // ---- The picks ----
   struct Plan {
     Server* server = nullptr;
-    double cost = 1e18, time = 0;
+    double cost = 1e18, time = 0, onward = 0, kept = 0;
     bool whole = false;
 
     bool offer(const Request& r, Server& s, double price) {
@@ -536,16 +497,47 @@
   // do so only when nothing else is left.
   Plan planRead(const Request& r, bool strict) {
     Plan best;
+    const Onward onward = planOnward(r, true);
+    const Server* const home = homeOf(r);
     for (auto& [id, s] : servers_) {
       const bool whole = !s.reads();
       if ((whole && !readsWhole(s)) || !mayRunOn(r, s) || !mayTake(s, r, strict)) continue;
-      const double fresh = r.ask.promptTokens - credit(s, r);
+      const double kept = credit(s, r, home), fresh = r.ask.promptTokens - kept;
       const double time = readTime(s, fresh);
-      double cost = time + kMissWeight * readRate(s) * fresh + kScoreTime * s.score + ill(s) +
+      double cost = time + kMissWeight * readRate(s) * fresh + kScoreTime * s.score + ill(s, r) +
                     (s.entry.zone == set_.zone ? 0 : kFarBias);
-      cost += whole ? writerWait(s, r) : std::min(shortestAim_, planWrite(r, s, true).cost);
+      const double then = whole ? writerWait(s, r) : onwardFrom(s, r, onward);
+      cost += then;
       if (s.entry.role == Role::kDecode) cost += kLastResort;
-      if (best.offer(r, s, cost)) best.time = time, best.whole = whole;
+      if (best.offer(r, s, cost)) best.time = time, best.onward = then, best.whole = whole, best.kept = kept;
+    }
+    return best;
+  }
+
+  // The least writer's cost, its transfer left out, in each cell, in each zone and anywhere: so that ranking
+  // the readers takes one pass over them and one over the writers.
+  using Onward = std::map<std::pair<int, std::uint32_t>, double>;
+  static std::uint32_t reach(int kind, const Server& s) {
+    return kind == 0 ? s.entry.cell : kind == 1 ? s.entry.zone : 0;
+  }
+  Onward planOnward(const Request& r, bool strict) const {
+    Onward least;
+    for (const auto& [id, s] : servers_) {
+      if (!s.writes() || !mayTake(s, r, strict) || !mayRunOn(r, s)) continue;
+      const double cost = writerCost(s, r);
+      for (int kind = 0; kind < 3; ++kind) {
+        double& best = least.try_emplace({kind, reach(kind, s)}, cost).first->second;
+        best = std::min(best, cost);
+      }
+    }
+    return least.empty() && strict ? planOnward(r, false) : least;
+  }
+
+  double onwardFrom(const Server& s, const Request& r, const Onward& least) const {
+    double best = shortestAim_;
+    for (int kind = 0; kind < 3; ++kind) {
+      const auto it = least.find({kind, reach(kind, s)});
+      if (it != least.end()) best = std::min(best, it->second + transferTime(s, kind, r.ask.promptTokens));
     }
     return best;
   }
@@ -559,17 +551,20 @@
     Plan best;
     for (auto& [id, s] : servers_) {
       if (!s.writes() || !mayTake(s, r, strict) || !mayRunOn(r, s)) continue;
-      const double ahead = s.waiting * s.wait.get(now_, waitPrior_);  // our own that wait there already
-      const double last = s.entry.role == Role::kMixed ? kLastResort : 0;
-      best.offer(r, s, transferTime(reader, s, r.ask.promptTokens) + writerWait(s, r) + ahead + last);
+      best.offer(r, s, transferTime(reader, linkKind(reader, s), r.ask.promptTokens) + writerCost(s, r));
     }
     return best;
   }
 
-  // Order among equals: the same shared prefix leads every node to the same server.
+  double writerCost(const Server& s, const Request& r) const {
+    const double ahead = s.waiting * figure(s.wait, waitPrior_);  // our own that wait there already
+    return writerWait(s, r) + ahead + (s.entry.role == Role::kMixed ? kLastResort : 0);
+  }
+
+  // Order among equals: the same shared prefix leads every node to the same reader; writers spread by
+  // session.
   static std::uint64_t tie(const Request& r, const Server& s) {
-    const std::uint64_t key = r.ask.prefix != 0 ? r.ask.prefix : r.ask.session;
-    return ((key ^ s.entry.id.value) * 0x9e3779b97f4a7c15ULL) >> 20;
+    return hashOf(r.ask.prefix != 0 && s.reads() ? r.ask.prefix : r.ask.session, s.entry.id.value);
   }
 
   // ---- A request's life ----
@@ -580,8 +575,8 @@
     if (plan.server != nullptr) {
       if (now_ + plan.time >= r.deadline || r.sends + (plan.whole ? 1 : 2) > set_.maxAttempts)
         return finish(r), true;
-      const bool shallow = readTime(*plan.server, 0) <= kQueueShare * shortestAim_;
-      if (shallow && roomAhead(r)) return sendRead(r, plan), true;
+      const double most = kLetIn * (r.aimAt - r.arrived) * (r.overShare ? kOverShareRoom : 1);
+      if (plan.time + plan.onward <= most) return sendRead(r, plan), true;
     }
     // Long queues at readers push out the text they keep and so slow them further. Waiting here costs no
     // server anything, but what cannot come in time is refused early.
@@ -589,27 +584,19 @@
     return finish(r), true;
   }
 
-  // Load shedding: a prompt is read only when some writer can take it soon. Traffic beyond its tenant's
-  // share gives way earlier.
-  bool roomAhead(const Request& r) const {
-    const double most = kWriterShare * shortestAim_ * (r.overShare ? kOverShareRoom : 1);
-    for (const auto& [id, s] : servers_) {
-      if (s.writes() && s.serving() && writerWait(s, r) <= most) return true;
-    }
-    return false;
-  }
-
   void sendRead(Request& r, const Plan& plan) {
     Server& s = *plan.server;
-    r.credit = credit(s, r);
+    r.credit = plan.kept;
     r.readTokens = r.ask.promptTokens - r.credit + kReadFloorTokens;
     r.whole = plan.whole;
     s.queuedTokens += r.readTokens;
     s.reading += 1;
     keep(r.ask.prefix, s, r.ask.prefixTokens);  // who comes next on this server finds it read
     r.stage = Stage::kReading;
-    r.planTokens = plan.time / readRate(s);
-    send(r, s, plan.time + (plan.whole ? s.wait.get(now_, waitPrior_) : 0));
+    send(r, s, plan.time + (plan.whole ? figure(s.wait, waitPrior_) : 0));
+    if (plan.whole) return;
+    if (Server* const writer = planWrite(r, s, true).server)
+      probe(*writer);  // told of by the end of the read
   }
 
   void pickWriterOrHold(Request& r) {
@@ -622,7 +609,9 @@
       r.whole = false;
       s->waiting += 1;
       reader->sending += 1;
-      return send(r, *s, transferTime(*reader, *s, r.ask.promptTokens) + s->wait.get(now_, waitPrior_));
+      return send(
+          r, *s,
+          transferTime(*reader, linkKind(*reader, *s), r.ask.promptTokens) + figure(s->wait, waitPrior_));
     }
     // Nothing may stay pinned: a state that no writer can take is let go well before the limit.
     if (sec(set_.pinLimit) > 0 && now_ - r.heldSince > 0.6 * sec(set_.pinLimit) - 2 * kSweep) finish(r);
@@ -637,10 +626,8 @@
     ++r.sends;
     if (runsEffect(r)) {
       s.heldTokens += r.need;
-      s.recentTokens = s.recentTokens * std::exp((s.recentAt - now_) / kRecent) + r.need;
-      s.recentAt = now_;
+      s.recent.set(s.recent.get(now_, kRecent) + r.need, now_);
     }
-    sent_[static_cast<std::size_t>(s.entry.role)] += sendWeight(r);
     s.coldSends.emplace_back(now_, sendWeight(r));
     while (s.coldSends.front().first < now_ - sec(set_.coldWarmAfter)) s.coldSends.pop_front();
     // Where attempts can be called off, silence ends them; the time-out only leaves room for another try.
@@ -721,18 +708,26 @@
     if (s == nullptr) return;
     const bool read = e.outcome == Outcome::kPrefilled;
     if (read) {
-      usual_[0].add(sec(e.elapsed), now_);
-      s->readCost.add(sec(e.elapsed) / r.planTokens, now_);
-      s->readVolume += r.ask.promptTokens - e.keptTokens;
-      if (r.credit > 0) s->trust.add(std::min(1.0, e.keptTokens / r.credit), now_);
+      learn(usual_[0], sec(e.elapsed));
+      const double fresh = r.ask.promptTokens - e.keptTokens;
+      if (s->reads()) learnWait(*s, sec(e.elapsed) - readRate(*s) * (fresh + kReadFloorTokens));
+      const double planned = r.expected / readRate(*s) + fresh - (r.ask.promptTokens - r.credit);
+      const double cost = sec(e.elapsed) / std::max(kReadFloorTokens, planned);
+      readCosts_.add(cost, now_);
+      learn(s->readCost, cost);
+      served(*s, r);
       keep(r.ask.session, *s, r.ask.promptTokens);
       keep(r.ask.prefix, *s, r.ask.prefixTokens);
     }
-    if (read || e.outcome == Outcome::kOk) return recovered(*s);
-    if (e.outcome == Outcome::kRejected) s->fullUntil = now_ + kFullPause;
-    if (r.calledOff) return blame(*s, Outcome::kTimeout);
-    if (!neverRan(e.outcome) && e.outcome != Outcome::kCancelled) blame(*s, e.outcome);
-    if (e.outcome == Outcome::kConnectFailed) blame(*s, e.outcome);
+    if (read || e.outcome == Outcome::kOk) return recovered(*s, r);
+    if (r.calledOff) return blame(*s, r, Outcome::kTimeout);
+    const bool ours = e.outcome == Outcome::kCancelled || e.outcome == Outcome::kNotSent;
+    if (!ours && e.outcome != Outcome::kStateLost) blame(*s, r, e.outcome);
+  }
+
+  void learnWait(Server& s, double wait) {
+    learn(s.wait, std::max(0.0, wait));
+    waits_[s.writes()].add(std::max(0.0, wait), now_);
   }
 
   static bool neverRan(Outcome outcome) {
@@ -745,41 +740,47 @@
     const Server* reader = find(r.reader);
     if (r.stage == Stage::kReading || reader == nullptr) return;
     const int kind = linkKind(*reader, s);
-    if (kind == 0)
-      return s.wait.add(std::max(0.002, took - transferTime(*reader, s, r.ask.promptTokens)), now_);
-    const double moved = std::max(0.0, took - s.wait.get(now_, waitPrior_)) / (r.ask.promptTokens + 1);
-    links_[{reader->entry.cell, kind}].add(moved, now_);
+    if (kind == 0) return learnWait(s, took - transferTime(*reader, kind, r.ask.promptTokens));
+    const double moved = std::max(0.0, took - figure(s.wait, waitPrior_)) / (r.ask.promptTokens + 1);
+    learn(links_[{reader->entry.cell, kind}], moved);
   }
 
   // ---- Health ----
-  // Outlier ejection from symptoms: errors, lost connections and time-outs. Time-outs do not eject when half
-  // of the role is out already: then the cause may be a link or the load.
-  void blame(Server& s, Outcome outcome) {
+  // Outlier ejection from symptoms: errors, refusals, silence and lost contact. A server may be ill for one
+  // class or one tenant only, so each has its record, and the healthier of a request's two counts: neither do
+  // the others' successes hide such an illness, nor does it cost them the server. Silence ejects nobody when
+  // half of the role is out already: then the cause may be a link or the load.
+  double illness(const Server& s, const Request& r) const {
+    double least = 1e9;
+    for (const int part : r.parts) {
+      const auto it = s.illness.find(part);
+      least = std::min(least, it == s.illness.end() ? 0 : level(it->second));
+    }
+    return std::max(least, level(s.contact));
+  }
+
+  void blame(Server& s, const Request& r, Outcome outcome) {
     const bool contact = outcome == Outcome::kConnectFailed || outcome == Outcome::kReset;
-    s.lostContact |= contact || outcome == Outcome::kTimeout;
-    s.failures += (contact ? 2 : 1) * kFailureStep * (1 - std::min(1.0, s.failures));
-    if (now_ < s.ejectedUntil || (s.failures < kEjectAt && !s.trial)) return;
-    if (outcome == Outcome::kTimeout && tooManyOut(s.entry.role)) return;
-    s.ejectedUntil = now_ + std::min(kEjectMost, kEjectFirst * std::pow(2, s.strikes++));
-    s.trial = true;
+    if (contact) return worsen(s.contact, 2);
+    const bool silent = outcome == Outcome::kTimeout;
+    if (silent && tooManyOut(s.entry.role, r)) return;
+    for (const int part : r.parts) worsen(s.illness[part], silent ? 2 : 1);
   }
 
-  bool tooManyOut(Role role) const {
+  bool tooManyOut(Role role, const Request& r) const {
     int ejected = 1, all = 0;
     for (const auto& [id, s] : servers_) {
       all += s.entry.role == role && s.serving();
-      ejected += s.entry.role == role && s.serving() && now_ < s.ejectedUntil;
+      ejected += s.entry.role == role && s.serving() && illness(s, r) >= kEjectAt;
     }
     return 2 * ejected > all;
   }
 
-  void recovered(Server& s) {
+  void recovered(Server& s, const Request& r) {
     s.answeredAt = now_;
-    s.failures *= 1 - kFailureStep;
-    if (s.failures < kFailureStep / 4) s.strikes = 0;
-    if (now_ < s.ejectedUntil || !s.trial) return;
-    s.trial = false;
-    if (std::exchange(s.lostContact, false)) s.coldSince = std::max(s.coldSince, now_);  // slow start
+    for (const int part : r.parts) s.illness[part].set(kHealing * level(s.illness[part]), now_);
+    if (level(s.contact) > kFailureStep / 2) s.coldSince = std::max(s.coldSince, now_);  // slow start
+    s.contact = {};
   }
 
   // ---- Fair shares ----
@@ -796,23 +797,24 @@
   }
 
   // ---- Small things ----
+  void learn(Learned& figure, double sample) { figure.add(sample, now_, kForget, kMemory); }
+  double figure(const Learned& f, double prior) const { return f.get(now_, prior, kForget, kPriorWeight); }
+  double level(const Fading& f) const { return f.get(now_, kForget); }
+  void worsen(Fading& f, double steps) { f.set(std::min(kMostIll, level(f) + steps * kFailureStep), now_); }
+  static double room(const Server& s) {
+    return s.entry.memoryTokens > 0 ? s.entry.memoryTokens : kMemoryPrior;
+  }
   Server* find(ServerId id) {
     const auto it = servers_.find(id);
     return it == servers_.end() ? nullptr : &it->second;
   }
   const ClassSettings& classOf(const Request& r) const { return set_.classes.at(r.ask.classIndex); }
   void act(Action action) { out_->push_back(std::move(action)); }
-  double draw() {
-    random_ ^= random_ << 13;
-    random_ ^= random_ >> 7;
-    random_ ^= random_ << 17;
-    return static_cast<double>(random_ >> 11) * 0x1.0p-53;
-  }
+  double draw() { return unitOf(random_ = hashOf(random_, 1)); }
 
   Settings set_;
   std::uint64_t random_;
-  double now_ = 0, scoredAt_ = 0, lastArrival_ = 0;
-  double shortestAim_ = 1e9;
+  double now_ = 0, shortestAim_ = 1e9;
   bool started_ = false;
   std::vector<Action>* out_ = nullptr;
   std::map<ServerId, Server> servers_;
@@ -821,12 +823,13 @@
   std::vector<RequestId> ended_;
   std::unordered_map<std::uint64_t, std::vector<Kept>> kept_;  // never walked in its own order
   std::map<std::pair<std::uint32_t, int>, Learned> links_;  // a token's move, by reader's cell and link kind
-  std::array<double, 4> sent_{}, rates_{}, taken_{};        // by role, see updateTaken
-  Learned gap_;                                             // between requests
+  std::array<Pool, 4> pools_;                               // by role
+  double probes_ = 1;                                       // that may be sent now
   std::vector<std::pair<double, double>> buckets_;          // for each tenant: requests in hand, and when
   Learned meanPrompt_;
-  Learned usual_[2];  // time that reads, and writers' first tokens, took lately
-  double readPrior_ = kReadPrior, waitPrior_ = kWaitPrior;
+  Learned usual_[2];             // time that reads, and writers' first tokens, took lately
+  Recent readCosts_, waits_[2];  // a token's reading; waits at readers and at writers
+  double readPrior_ = kReadPrior, waitPrior_ = kWaitPrior, queuePrior_ = 0;
 };
 
 Policy::Policy(Settings settings) : impl_(std::make_unique<Impl>(std::move(settings))) {}
