--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -26,6 +26,7 @@
 constexpr double kMemory = 5;             // samples that a learned figure averages over
 constexpr double kPriorWeight = 0.5;      // samples that the peers' figure counts for
 constexpr double kReadPrior = 1e-4;       // reading, a token
+constexpr double kBaseStep = 0.1;         // how far one read moves the cost of those that do not wait
 constexpr double kReadFloorTokens = 300;  // a read's fixed cost, as tokens
 constexpr double kOutlier = 1.7;          // a reader this much slower than its peers counts as slow
 constexpr double kSeen = 4;               // how long a sample tells of all servers of its role
@@ -308,8 +309,8 @@
   // Seconds a prompt token. What others queue at a reader makes its figure swing; only one that stands out
   // from its peers counts as slow, or sessions would move for noise and lose what their reader keeps.
   double readRate(const Server& s) const {
-    const double own = figure(s.readCost, readPrior_);
-    return own > kOutlier * readPrior_ ? own : readPrior_;
+    const double slower = figure(s.readCost, readPrior_) / readPrior_;
+    return readBase_ * (slower > kOutlier ? slower : 1);
   }
 
   double readTime(const Server& s, double tokens) const {
@@ -586,8 +587,7 @@
 
   void sendRead(Request& r, const Plan& plan) {
     Server& s = *plan.server;
-    r.credit = plan.kept;
-    r.readTokens = r.ask.promptTokens - r.credit + kReadFloorTokens;
+    r.readTokens = r.ask.promptTokens - plan.kept + kReadFloorTokens;
     r.whole = plan.whole;
     s.queuedTokens += r.readTokens;
     s.reading += 1;
@@ -711,9 +711,10 @@
       learn(usual_[0], sec(e.elapsed));
       const double fresh = r.ask.promptTokens - e.keptTokens;
       if (s->reads()) learnWait(*s, sec(e.elapsed) - readRate(*s) * (fresh + kReadFloorTokens));
-      const double planned = r.expected / readRate(*s) + fresh - (r.ask.promptTokens - r.credit);
-      const double cost = sec(e.elapsed) / std::max(kReadFloorTokens, planned);
+      const double cost = sec(e.elapsed) / (fresh + kReadFloorTokens);
       readCosts_.add(cost, now_);
+      // In a jam all reads wait, so the base follows the quickest tenth of them.
+      readBase_ += (cost < readBase_ ? kBaseStep : kBaseStep / 9) * (cost - readBase_);
       learn(s->readCost, cost);
       served(*s, r);
       keep(r.ask.session, *s, r.ask.promptTokens);
@@ -829,7 +830,7 @@
   Learned meanPrompt_;
   Learned usual_[2];             // time that reads, and writers' first tokens, took lately
   Recent readCosts_, waits_[2];  // a token's reading; waits at readers and at writers
-  double readPrior_ = kReadPrior, waitPrior_ = kWaitPrior, queuePrior_ = 0;
+  double readBase_ = kReadPrior, readPrior_ = kReadPrior, waitPrior_ = kWaitPrior, queuePrior_ = 0;
 };
 
 Policy::Policy(Settings settings) : impl_(std::make_unique<Impl>(std::move(settings))) {}
--- a/src/records.h
+++ b/src/records.h
@@ -49,7 +49,7 @@
   int sends = 0, timeouts = 0, writerFailures = 0;
   bool out = false, whole = false, calledOff = false;  // an attempt is out, reads and writes, was cancelled
   ServerId server, reader;                             // of the last attempt; where the state waits
-  double sentAt = 0, expected = 0, heldSince = 0, credit = 0;
+  double sentAt = 0, expected = 0, heldSince = 0;
   double readTokens = 0, need = 0;  // to read; of a writer's memory
   bool mayHaveRun = false;          // some attempt may have had its effect; the first was sent then and there
   double firstRunAt = 0;
