--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -306,8 +306,8 @@
   bool fresh(const Server& s) const { return now_ - s.reportAt < kReportFresh; }
 
   // ---- Estimates ----
-  // Seconds a prompt token. What others queue at a reader makes its figure swing; only one that stands out
-  // from its peers counts as slow, or sessions would move for noise and lose what their reader keeps.
+  // Seconds a prompt token where nothing waits: in a jam all reads wait, so it follows the quickest tenth.
+  // Only a reader that stands out counts as slow, or sessions would move for noise and lose what is kept.
   double readRate(const Server& s) const {
     const double slower = figure(s.readCost, readPrior_) / readPrior_;
     return readBase_ * (slower > kOutlier ? slower : 1);
@@ -713,7 +713,6 @@
       if (s->reads()) learnWait(*s, sec(e.elapsed) - readRate(*s) * (fresh + kReadFloorTokens));
       const double cost = sec(e.elapsed) / (fresh + kReadFloorTokens);
       readCosts_.add(cost, now_);
-      // In a jam all reads wait, so the base follows the quickest tenth of them.
       readBase_ += (cost < readBase_ ? kBaseStep : kBaseStep / 9) * (cost - readBase_);
       learn(s->readCost, cost);
       served(*s, r);
