Rank writers for a probe only when one may be sent

Each read ranked all writers to choose one to probe, also where probes are not allowed or none is saved up; the check now comes first and stands in one place. Two comments named an ejection and a tie that are no longer so.

--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -260,9 +260,12 @@
     }
   }
 
+  bool mayProbe() const {
+    return set_.probesAllowed && set_.reporting != Reporting::kNone && (set_.probePrice <= 0 || probes_ >= 1);
+  }
+
   void probe(Server& s) {
-    if (!set_.probesAllowed || set_.reporting == Reporting::kNone || !s.serving() || s.reads()) return;
-    if (now_ < s.nextProbe || (set_.probePrice > 0 && probes_ < 1)) return;
+    if (!mayProbe() || !s.serving() || s.reads() || now_ < s.nextProbe) return;
     if (set_.probePrice > 0) probes_ -= 1;
     s.nextProbe = now_ + kProbeOften;
     act(Probe{s.entry.id});
@@ -375,8 +378,7 @@
     return std::min(r.ask.promptTokens, std::max(own, &s == home ? kHomeKeeps * r.ask.promptTokens : 0));
   }
 
-  // The home of a session: rendezvous hashing over the readers, alike on all nodes of a zone, with better
-  // odds for those near.
+  // The home of a session: rendezvous hashing, alike on all nodes of a zone, better odds for near readers.
   const Server* homeOf(const Request& r) const {
     const Server* home = nullptr;
     double first = 1e18;
@@ -409,7 +411,7 @@
   }
 
   // ---- Who may be sent what ----
-  // A server that failed lately is out until its ejection ends, then has one request at a time on trial.
+  // A server that looks ill is passed over; while it recovers it has one request at a time on trial.
   bool mayTake(const Server& s, const Request& r, bool strict) const {
     if (!s.serving() || !withinColdBudget(s, r)) return false;
     if (!strict) return true;
@@ -562,8 +564,7 @@
     return writerWait(s, r) + ahead + (s.entry.role == Role::kMixed ? kLastResort : 0);
   }
 
-  // Order among equals: the same shared prefix leads every node to the same reader; writers spread by
-  // session.
+  // Order among equals: one shared prefix leads all nodes to the same reader; writers go by session.
   static std::uint64_t tie(const Request& r, const Server& s) {
     return hashOf(r.ask.prefix != 0 && s.reads() ? r.ask.prefix : r.ask.session, s.entry.id.value);
   }
@@ -594,7 +595,7 @@
     keep(r.ask.prefix, s, r.ask.prefixTokens);  // who comes next on this server finds it read
     r.stage = Stage::kReading;
     send(r, s, plan.time + (plan.whole ? figure(s.wait, waitPrior_) : 0));
-    if (plan.whole) return;
+    if (plan.whole || !mayProbe()) return;
     if (Server* const writer = planWrite(r, s, true).server)
       probe(*writer);  // told of by the end of the read
   }
