--- a/lab/ledger.cpp
+++ b/lab/ledger.cpp
@@ -150,8 +150,8 @@
 }
 
 void Ledger::stateHeld(const EngineName& engine, const std::string& request, const std::string& state,
-                       double at) {
-  held_[state] = {engine.id, request, at, false};
+                       double at, bool unheard) {
+  held_[state] = {engine.id, request, at, unheard};
 }
 
 void Ledger::stateEnded(const std::string& state, double at) {
@@ -179,8 +179,12 @@
   longest = std::max(longest, until - free);
   if (longest <= rules_.pinLimit + rules_.allowance) return;
   ++counts_.pinned;
+  std::string attempts;
+  for (const auto& [from, to] : spans)
+    attempts += " " + number(from - state.from) + ".." + number(to - state.from);
   found("engine " + std::to_string(state.engine) + ": a state of " + state.request + " lay " +
-        number(longest) + " s with no attempt out");
+        number(longest) + " s with no attempt out; it ended after " + number(until - state.from) +
+        " s; attempts, from its start:" + attempts);
 }
 
 void Ledger::engineStarted(std::uint32_t engine, double at) {
--- a/lab/ledger.h
+++ b/lab/ledger.h
@@ -65,7 +65,9 @@
   // An answer began to be written for it: the effect.
   void effect(AttemptKey key, double at);
 
-  void stateHeld(const EngineName& engine, const std::string& request, const std::string& state, double at);
+  // `unheard`: its node cannot have been told.
+  void stateHeld(const EngineName& engine, const std::string& request, const std::string& state, double at,
+                 bool unheard = false);
   void stateEnded(const std::string& state, double at);
   void engineSilent(std::uint32_t engine);  // it cannot be told to let go of anything
 
--- a/lab/stand_in.cpp
+++ b/lab/stand_in.cpp
@@ -55,6 +55,7 @@
   server_.silentTo = [this](const std::string& peer) {
     return silent_ || fabric_.cut(model_.spec().zone, zoneOf(peer));
   };
+  server_.onHeld = [this](const Call& call, std::string_view bytes) { bookHeld(call, bytes); };
   server_.onConnectionEnded = [this](const grpc::ServerConnection& connection) {
     std::vector<std::string> lost;
     for (const auto& [name, state] : states_) {
@@ -86,13 +87,38 @@
 }
 
 void StandIn::step(double now, double span) {
-  if (!dead_) model_.step(now, silent_ ? 0 : span);
+  if (dead_) return;
+  if (silent_ || fabric_.cutZone) poll();  // what comes is booked, though nothing is done about it
+  model_.step(now, silent_ ? 0 : span);
 }
 
 // ---- Calls ----
+AttemptKey StandIn::book(const Call& call, const Named& named) {
+  const auto held = held_.extract(call.get());
+  if (!held.empty()) return held.mapped();
+  return fabric_.ledger.attemptOpened(name(), named.node, named.request, named.id, fabric_.now());
+}
+
+void StandIn::bookHeld(const Call& call, std::string_view bytes) {
+  // Both requests begin with the attempt's name, and only that is wanted.
+  v1::PrefillRequest read;
+  v1::DecodeRequest write;
+  const bool reads = call->method() == "/gannetcourse.v1.Engine/Prefill";
+  if (!reads && call->method() != "/gannetcourse.v1.Engine/Decode") return;
+  if (reads ? !parse(read, bytes) : !parse(write, bytes)) return;
+  const v1::AttemptName& told = reads ? read.name() : write.name();
+  const TryId id = reads ? tryOf(read.prompt()) : write.seed();
+  held_[call.get()] = fabric_.ledger.attemptOpened(name(), told.node(), told.request(), id, fabric_.now());
+  call->onClosed = [this, key = call.get(), alive = alive_] {
+    if (!*alive) return;
+    const auto held = held_.extract(key);
+    if (!held.empty()) fabric_.ledger.attemptClosed(held.mapped(), fabric_.now());
+  };
+}
+
 std::optional<std::uint64_t> StandIn::open(const Call& call, const Named& named) {
   const double now = fabric_.now();
-  const AttemptKey key = fabric_.ledger.attemptOpened(name(), named.node, named.request, named.id, now);
+  const AttemptKey key = book(call, named);
   const std::uint64_t handle = ++last_;
   open_[handle] = {call, key, {}, nullptr};
   call->onClosed = [this, handle, alive = alive_] {
@@ -192,7 +218,7 @@
     const std::string state = std::to_string(model_.spec().id) + "/" + std::to_string(++last_);
     states_[state] = {named.request, named.attempt, named.promptTokens, call->connectionId(), false};
     model_.holdState(named.promptTokens);
-    fabric_.ledger.stateHeld(name(), named.request, state, fabric_.now());
+    fabric_.ledger.stateHeld(name(), named.request, state, fabric_.now(), call->silenced());
     v1::PrefillReply reply;
     reply.set_state(state);
     reply.set_kept_tokens(static_cast<std::uint32_t>(kept));
--- a/lab/stand_in.h
+++ b/lab/stand_in.h
@@ -116,6 +116,9 @@
   void release(const Call& call, std::string_view bytes);
   void probe(const Call& call);
 
+  // The attempt is out from when it has come, though a silent engine does nothing with it.
+  void bookHeld(const Call& call, std::string_view bytes);
+  AttemptKey book(const Call& call, const Named& named);
   // Books the attempt; nothing where a trouble has taken the call, or it falls over now.
   std::optional<std::uint64_t> open(const Call& call, const Named& named);
   bool troubled(const Call& call, const Named& named);
@@ -131,6 +134,7 @@
   EngineModel model_;
   grpc::Server server_;
   std::unordered_map<std::uint64_t, Open> open_;
+  std::unordered_map<const grpc::ServerCall*, AttemptKey> held_;  // booked, not yet handled
   std::unordered_map<std::string, State> states_;
   std::uint64_t last_ = 0;
   std::int64_t startedUnixMs_ = 0;
--- a/lab/tamper.cpp
+++ b/lab/tamper.cpp
@@ -39,6 +39,17 @@
   };
 }
 
+// Two answers to a stream that has begun.
+Tamper secondAnswers() {
+  return [pick = OneIn(10)](node::Node& node, Commands& commands) mutable {
+    for (const router::Command& c : commands) {
+      const auto* answer = std::get_if<router::Answer>(&c);
+      if (answer != nullptr && answer->verdict == router::Verdict::kServed && pick())
+        node.answerTwice(answer->request);
+    }
+  };
+}
+
 // An answer never comes.
 Tamper lostAnswers() {
   return [pick = OneIn(10)](node::Node&, Commands& commands) mutable {
@@ -104,6 +115,7 @@
 
 Tamper tamperFor(const std::string& breakage, const Day& day) {
   if (breakage.empty()) return {};
+  if (breakage == "second-answer") return secondAnswers();
   if (breakage == "late-answer") return lateAnswers(day);
   if (breakage == "lost-answer") return lostAnswers();
   if (breakage == "double-attempt") return doubleAttempts();
--- a/src/config/xml.cpp
+++ b/src/config/xml.cpp
@@ -86,12 +86,23 @@
   static_cast<void>(kDone);
 }
 
-constexpr int kParseOptions = XML_PARSE_NONET | XML_PARSE_NOERROR | XML_PARSE_NOWARNING;
+constexpr int kParseOptions = XML_PARSE_NONET | XML_PARSE_BIG_LINES;
 
-void collectLast(std::vector<Fault>& faults, const std::string& name) {
+// Reads a document while collecting what the parser says; of an unreadable one the first fault is the telling
+// one.
+template <class Read>
+xmlDoc* readWith(const std::string& name, std::vector<Fault>& faults, const Read& read) {
+  prepareLibrary();
   Collector collector{name, faults};
-  if (xmlErrorPtr last = xmlGetLastError()) collect(&collector, last);
+  xmlSetStructuredErrorFunc(&collector, collect);
+  xmlDoc* const document = read();
+  xmlSetStructuredErrorFunc(nullptr, nullptr);
+  if (document != nullptr) return document;
   if (faults.empty()) faults.push_back({name, 0, "cannot be read", "check the path and its rights"});
+  faults.resize(1);
+  if (faults.front().what.find("failed to load") != std::string::npos)
+    faults.front() = {name, 0, "cannot be read", "check the path and its rights"};
+  return nullptr;
 }
 
 }  // namespace
@@ -184,21 +195,17 @@
 void Document::Free::operator()(_xmlDoc* document) const { xmlFreeDoc(document); }
 
 Document Document::load(const std::string& path, std::string_view schema) {
-  prepareLibrary();
-  xmlResetLastError();
   std::vector<Fault> faults;
-  xmlDoc* const document = xmlReadFile(path.c_str(), nullptr, kParseOptions);
-  if (document == nullptr) collectLast(faults, path);
+  xmlDoc* const document =
+      readWith(path, faults, [&] { return xmlReadFile(path.c_str(), nullptr, kParseOptions); });
   return check(path, document, std::move(faults), schema);
 }
 
 Document Document::parse(std::string_view text, const std::string& name, std::string_view schema) {
-  prepareLibrary();
-  xmlResetLastError();
   std::vector<Fault> faults;
-  xmlDoc* const document =
-      xmlReadMemory(text.data(), static_cast<int>(text.size()), name.c_str(), nullptr, kParseOptions);
-  if (document == nullptr) collectLast(faults, name);
+  xmlDoc* const document = readWith(name, faults, [&] {
+    return xmlReadMemory(text.data(), static_cast<int>(text.size()), name.c_str(), nullptr, kParseOptions);
+  });
   return check(name, document, std::move(faults), schema);
 }
 
--- a/src/fronts/router_side.h
+++ b/src/fronts/router_side.h
@@ -15,6 +15,7 @@
   virtual ~ClientSide() = default;
   virtual void deliver(const router::Deliver& token) = 0;
   virtual void answer(const router::Answer& answer) = 0;  // once; nothing follows
+  virtual void answerTwiceForTests() {}                   // sends a further answer ahead of the real one
 };
 
 class RouterSide {
--- a/src/grpc/channel.cpp
+++ b/src/grpc/channel.cpp
@@ -26,7 +26,7 @@
   http2::Session session;
   std::unordered_map<http2::StreamId, std::shared_ptr<ClientCall>> calls;
   bool ready = false, ended = false, closing = false;
-  std::uint64_t pings = 0, pongs = 0;
+  std::uint64_t number = 0, pings = 0, pongs = 0;
 };
 
 namespace {
@@ -239,6 +239,7 @@
 
 void Channel::openLink() {
   links_.push_back(std::make_unique<Link>(*this, loop_, options_.http2));
+  links_.back()->number = ++lastLink_;
   links_.back()->session.connect(to_, options_.connectTimeout);
 }
 
@@ -302,10 +303,11 @@
       busy = true;
       const std::uint64_t due = ++link->pings;
       link->session.ping();
-      loop_.after(options_.keepaliveTimeout, [this, alive = alive_, key = link.get(), due] {
+      loop_.after(options_.keepaliveTimeout, [this, alive = alive_, number = link->number, due] {
         if (!*alive) return;
         for (auto& l : links_) {
-          if (l.get() == key && l->ready && l->pongs < due) return l->session.fail("no answer to a PING");
+          if (l->number == number && l->ready && l->pongs < due)
+            return l->session.fail("no answer to a PING");
         }
       });
     }
--- a/src/grpc/channel.h
+++ b/src/grpc/channel.h
@@ -114,6 +114,7 @@
   net::Endpoint to_;
   ChannelOptions options_;
   std::vector<std::unique_ptr<Link>> links_;
+  std::uint64_t lastLink_ = 0;
   std::deque<std::shared_ptr<ClientCall>> queued_;
   Duration backoff_{0};
   Instant retryAt_{};
--- a/src/grpc/server.cpp
+++ b/src/grpc/server.cpp
@@ -33,6 +33,19 @@
 
 std::uint64_t ServerCall::connectionId() const { return connection_ == nullptr ? 0 : connection_->id(); }
 
+void ServerCall::sendRawTrailers(std::string_view fields) {
+  if (!open()) return;
+  std::string bytes;
+  for (const int shift : {16, 8, 0}) bytes.push_back(static_cast<char>(fields.size() >> shift));
+  bytes.append({1, 5});  // HEADERS with END_STREAM and END_HEADERS
+  for (const int shift : {24, 16, 8, 0}) bytes.push_back(static_cast<char>(stream_ >> shift));
+  connection_->session_.sendRaw(bytes.append(fields));
+}
+
+bool ServerCall::silenced() const {
+  return connection_ != nullptr && connection_->session_.connection().frozen();
+}
+
 void ServerCall::send(std::string_view message) {
   if (!open()) return;
   if (!std::exchange(headersSent_, true)) connection_->session_.respond(stream_, kAnswerHeaders);
@@ -44,13 +57,13 @@
   finished_ = true;
   http2::Headers last = trailersOf(status, trailers);
   http2::Session& session = connection_->session_;
+  if (!remoteEnded_) session.dropRest(stream_);
   if (headersSent_) {
     session.finish(stream_, last);
   } else {
     last.insert(last.begin(), kAnswerHeaders.begin(), kAnswerHeaders.end());
     session.respondOnly(stream_, last);
   }
-  if (!remoteEnded_) session.reset(stream_, http2::kNoError);  // the rest of the request is not wanted
 }
 
 void ServerCall::reset(std::uint32_t http2Code) {
@@ -84,8 +97,8 @@
 }
 
 void ServerConnection::answerHttp(http2::StreamId stream, const char* status) {
+  session_.dropRest(stream);
   session_.respondOnly(stream, {{":status", status}});
-  session_.reset(stream, http2::kNoError);
 }
 
 void ServerConnection::onHeaders(http2::StreamId stream, http2::Headers headers, bool overflow) {
@@ -173,6 +186,7 @@
   if (call->requests_ == 0) return call->finish({Code::kUnimplemented, "no request message"});
   if (session_.connection().frozen()) {
     held_.push_back(call);
+    if (server_.onHeld) server_.onHeld(call, call->request_);
   } else {
     dispatch(call);
   }
--- a/src/grpc/server.h
+++ b/src/grpc/server.h
@@ -33,6 +33,9 @@
   Instant receivedAt() const { return receivedAt_; }            // of the request's headers
   const std::string& peer() const;                              // the connection's user-agent
   std::uint64_t connectionId() const;
+  // For tests that break the protocol on purpose: a HEADERS frame of raw fields that ends the stream.
+  void sendRawTrailers(std::string_view fields);
+  bool silenced() const;  // by Server::freeze(): what is sent waits here
   bool open() const { return connection_ != nullptr && !finished_; }
 
   void send(std::string_view message);
@@ -88,6 +91,8 @@
   void refuse(bool refused);  // as a machine without the process: no new connections, the port stays ours
   std::function<bool(const std::string& peer)> silentTo;  // asked at a connection's first request
   std::function<void(const ServerConnection&)> onConnectionEnded;
+  // A whole request has come on a silent connection; it is handled once that speaks again.
+  std::function<void(const std::shared_ptr<ServerCall>& call, std::string_view request)> onHeld;
 
  private:
   friend class ServerConnection;
--- a/src/http2/session.cpp
+++ b/src/http2/session.cpp
@@ -35,6 +35,15 @@
 struct Session::Callbacks {
   static Session& of(void* user) { return *static_cast<Session*>(user); }
 
+  static int beginFrame(nghttp2_session*, const nghttp2_frame_hd* frame, void* user) {
+    Session& self = of(user);
+    const bool speaks = frame->type == NGHTTP2_HEADERS || frame->type == NGHTTP2_DATA;
+    const auto& ended = self.endedWell_;
+    if (speaks && std::find(ended.begin(), ended.end(), frame->stream_id) != ended.end())
+      self.owner_.onStrayFrame(frame->stream_id);
+    return 0;
+  }
+
   static int beginHeaders(nghttp2_session*, const nghttp2_frame* frame, void* user) {
     Stream& stream = of(user).streams_[frame->hd.stream_id];
     stream.incoming.clear();
@@ -96,12 +105,18 @@
 
   static int streamClosed(nghttp2_session*, std::int32_t id, std::uint32_t code, void* user) {
     Session& self = of(user);
-    if (self.streams_.erase(id) > 0) self.owner_.onStreamClosed(id, code);
+    if (self.streams_.erase(id) == 0) return 0;
+    if (code == NGHTTP2_NO_ERROR) self.endedWell_[self.endedAt_++ % self.endedWell_.size()] = id;
+    self.owner_.onStreamClosed(id, code);
     return 0;
   }
 
-  static int invalidFrame(nghttp2_session*, const nghttp2_frame* frame, int, void* user) {
-    of(user).owner_.onStrayFrame(frame->hd.stream_id);
+  static int frameSent(nghttp2_session* session, const nghttp2_frame* frame, void* user) {
+    const Stream* stream = of(user).find(frame->hd.stream_id);
+    const bool end = (frame->hd.flags & NGHTTP2_FLAG_END_STREAM) != 0 &&
+                     (frame->hd.type == NGHTTP2_HEADERS || frame->hd.type == NGHTTP2_DATA);
+    if (end && stream != nullptr && stream->dropRest)
+      nghttp2_submit_rst_stream(session, NGHTTP2_FLAG_NONE, frame->hd.stream_id, NGHTTP2_NO_ERROR);
     return 0;
   }
 
@@ -142,7 +157,8 @@
       nghttp2_session_callbacks_set_on_frame_recv_callback(made, frame);
       nghttp2_session_callbacks_set_on_data_chunk_recv_callback(made, data);
       nghttp2_session_callbacks_set_on_stream_close_callback(made, streamClosed);
-      nghttp2_session_callbacks_set_on_invalid_frame_recv_callback(made, invalidFrame);
+      nghttp2_session_callbacks_set_on_frame_send_callback(made, frameSent);
+      nghttp2_session_callbacks_set_on_begin_frame_callback(made, beginFrame);
       return made;
     }();
     return kTable;
@@ -299,6 +315,10 @@
   resume(id, *stream);
 }
 
+void Session::dropRest(StreamId id) {
+  if (Stream* const stream = find(id)) stream->dropRest = true;
+}
+
 void Session::reset(StreamId id, std::uint32_t code) {
   if (!open() || find(id) == nullptr) return;
   nghttp2_submit_rst_stream(session_, NGHTTP2_FLAG_NONE, id, code);
@@ -316,6 +336,11 @@
   return it == streams_.end() ? 0 : it->second.out.size() - it->second.outAt;
 }
 
+void Session::sendRaw(std::string_view bytes) {
+  pump();
+  connection_.write({reinterpret_cast<const std::uint8_t*>(bytes.data()), bytes.size()});
+}
+
 void Session::ping() {
   if (!open()) return;
   nghttp2_submit_ping(session_, NGHTTP2_FLAG_NONE, nullptr);
--- a/src/http2/session.h
+++ b/src/http2/session.h
@@ -3,6 +3,7 @@
 // gRPC.
 #pragma once
 
+#include <array>
 #include <cstdint>
 #include <memory>
 #include <span>
@@ -80,12 +81,18 @@
   void respondOnly(StreamId stream, const Headers& headers);  // headers that end the stream
   void send(StreamId stream, std::string_view bytes);
   void finish(StreamId stream, const Headers& trailers);
+  // What the peer still sends on the stream is not wanted: it is reset, without an error, once our end is
+  // out.
+  void dropRest(StreamId stream);
   // Goes out before anything that is submitted elsewhere after this call.
   void reset(StreamId stream, std::uint32_t code);
   // The owner took `bytes` of a stream: the peer may send as many more.
   void consumed(StreamId stream, std::size_t bytes);
   std::size_t pending(StreamId stream) const;  // bytes of body that are not yet in the connection
 
+  // For tests that break the protocol on purpose: bytes into the connection, after what is due.
+  void sendRaw(std::string_view bytes);
+
   void ping();
   void goaway();                         // in good order: open streams end first
   void close();                          // at once, owner not told
@@ -104,7 +111,7 @@
     bool overflow = false;
     std::string out;
     std::size_t outAt = 0;
-    bool ended = false, stalled = false;
+    bool ended = false, stalled = false, dropRest = false;
     Headers trailers;
   };
   struct Callbacks;
@@ -131,6 +138,8 @@
   net::Connection connection_;
   nghttp2_session* session_ = nullptr;
   std::unordered_map<StreamId, Stream> streams_;
+  std::array<StreamId, 32> endedWell_{};  // the last ones; nothing more may come for them
+  std::size_t endedAt_ = 0;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
   bool inside_ = false;  // in a call of nghttp2, which must not be entered again
   bool pumpDue_ = false, draining_ = false, over_ = false;
--- a/src/net/connection.cpp
+++ b/src/net/connection.cpp
@@ -29,6 +29,24 @@
   setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
 }
 
+constexpr int kBacklog = 4096;
+
+// A socket that is bound to the address, whose port is filled in; -1 where that cannot be.
+int bound(sockaddr_in& address) {
+  const int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  if (fd < 0) return -1;
+  const int reuse = 1;
+  setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &reuse, sizeof reuse);
+  socklen_t size = sizeof address;
+  if (bind(fd, reinterpret_cast<const sockaddr*>(&address), sizeof address) == 0 &&
+      getsockname(fd, reinterpret_cast<sockaddr*>(&address), &size) == 0)
+    return fd;
+  const int fault = errno;
+  ::close(fd);
+  errno = fault;
+  return -1;
+}
+
 }  // namespace
 
 std::optional<Endpoint> parseEndpoint(std::string_view text) {
@@ -173,20 +191,17 @@
 }
 
 Listener::Listener(Loop& loop, const Endpoint& on, Accept accept) : loop_(loop), accept_(std::move(accept)) {
-  const auto address = socketAddress(on);
-  fd_ = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-  const int reuse = 1;
-  if (fd_ >= 0) setsockopt(fd_, SOL_SOCKET, SO_REUSEADDR, &reuse, sizeof reuse);
-  if (!address || fd_ < 0 || bind(fd_, reinterpret_cast<const sockaddr*>(&*address), sizeof *address) != 0 ||
-      listen(fd_, 4096) != 0) {
-    const int fault = address ? errno : EINVAL;
+  auto address = socketAddress(on);
+  // A port that the kernel chose is bound by its number as well: only then it stays ours while refusing.
+  const int chooser = address && on.port == 0 ? bound(*address) : -1;
+  fd_ = address ? bound(*address) : -1;
+  const int fault = address ? errno : EINVAL;
+  if (chooser >= 0) ::close(chooser);
+  if (fd_ < 0 || listen(fd_, kBacklog) != 0) {
     if (fd_ >= 0) ::close(std::exchange(fd_, -1));
     throw std::system_error(fault, std::generic_category(), "cannot listen on " + on.text());
   }
-  sockaddr_in bound{};
-  socklen_t size = sizeof bound;
-  getsockname(fd_, reinterpret_cast<sockaddr*>(&bound), &size);
-  port_ = ntohs(bound.sin_port);
+  port_ = ntohs(address->sin_port);
   loop_.watch(fd_, this);
 }
 
@@ -210,7 +225,7 @@
   if (refused) {
     loop_.unwatch(fd_);
     shutdown(fd_, SHUT_RD);
-  } else if (listen(fd_, 4096) == 0) {
+  } else if (listen(fd_, kBacklog) == 0) {
     loop_.watch(fd_, this);
   }
 }
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -207,6 +207,11 @@
              command);
 }
 
+void Node::answerTwice(router::RequestKey request) {
+  const auto it = clients_.find(request);
+  if (it != clients_.end()) it->second->answerTwiceForTests();
+}
+
 void Node::run() {
   // What is carried out may call back in here; the outermost run does it all, in order.
   if (std::exchange(running_, true)) return;
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -44,6 +44,7 @@
 
   // For tampering tests.
   void carryOut(const router::Command& command);
+  void answerTwice(router::RequestKey request);
   net::Loop& loop() override { return loop_; }
   const config::NodeSettings& settings() const override { return settings_; }
 
--- /dev/null
+++ b/tests/config_test.cpp
@@ -0,0 +1,157 @@
+// Settings: each fault has file, line, what is wrong and what to do; what would break a rule is refused by
+// its name.
+#include <gtest/gtest.h>
+
+#include "config/settings.h"
+
+namespace gannetcourse::config {
+namespace {
+
+struct Parts {
+  std::string node = "<node name='n1' zone='north' nodes='3'/>";
+  std::string listen = "<listen grpc='127.0.0.1:0'/>";
+  std::string zones = "<zones><zone name='north'/><zone name='south'/></zones>";
+  std::string classes =
+      "<classes><class name='query' aim='1s' token-aim='60ms' first-token-within='4s' worth='3'/></classes>";
+  std::string rest;
+  std::string fleet = "<fleet registry='127.0.0.1:4000'/>";
+  std::string text() const {
+    return "<gannetcourse xmlns='urn:gannetcourse:settings:1'>\n" + node + "\n" + listen + "\n" + zones +
+           "\n" + classes + "\n" + fleet + "\n" + rest + "\n</gannetcourse>\n";
+  }
+};
+
+std::vector<Fault> faultsOf(const std::string& text) {
+  try {
+    parseSettings(text, "node.xml");
+  } catch (const Faults& faults) {
+    return faults.list();
+  }
+  return {};
+}
+
+TEST(Settings, AreReadWithTheirUnits) {
+  Parts parts;
+  parts.rest =
+      "<limits max-attempts='6' pin-limit='500ms' drain-grace='1s' worth-by='work'/>"
+      "<tenants over-share-worth='0.1'><tenant name='a' share='0.6' quota-per-second='12'/></tenants>"
+      "<cold-start start-capacity='0.3' warm-after='13s' overload-factor='2.5' window='3s'/>"
+      "<engines reports='probes' connect-timeout='100ms'/>";
+  const NodeSettings s = parseSettings(parts.text(), "node.xml");
+  EXPECT_EQ(s.name, "n1");
+  EXPECT_EQ(s.policy.zone, 0u);
+  EXPECT_EQ(s.policy.nodes, 3);
+  EXPECT_EQ(s.policy.maxAttempts, 6);
+  EXPECT_DOUBLE_EQ(s.policy.pinLimit.count(), 0.5);
+  EXPECT_DOUBLE_EQ(s.policy.coldWarmAfter.count(), 13);
+  EXPECT_TRUE(s.policy.probesAllowed);
+  EXPECT_TRUE(s.policy.worthByWork);
+  EXPECT_DOUBLE_EQ(s.policy.tenants.at(0).quotaPerSecond, 12);
+  EXPECT_DOUBLE_EQ(s.policy.classes.at(0).tokenAim.count(), 0.06);
+  EXPECT_DOUBLE_EQ(s.connectTimeout.count(), 0.1);
+}
+
+struct Bad {
+  const char* name;
+  void (*spoil)(Parts&);
+  int line;
+  const char* says;
+};
+
+class BadSettings : public ::testing::TestWithParam<Bad> {};
+
+TEST_P(BadSettings, AreToldWithLineAndMend) {
+  Parts parts;
+  GetParam().spoil(parts);
+  const auto faults = faultsOf(parts.text());
+  ASSERT_FALSE(faults.empty());
+  const Fault& fault = faults.front();
+  EXPECT_EQ(fault.file, "node.xml");
+  EXPECT_EQ(fault.line, GetParam().line) << fault.text();
+  EXPECT_NE(fault.text().find(GetParam().says), std::string::npos) << fault.text();
+  EXPECT_FALSE(fault.mend.empty()) << fault.text();
+  EXPECT_EQ(fault.text().find('\n'), std::string::npos) << "one line";
+}
+
+const Bad kBad[] = {
+    {"no_unit", [](Parts& p) { p.classes = "<classes><class name='q' aim='15'/></classes>"; }, 5, "250ms"},
+    {"unknown_attribute", [](Parts& p) { p.listen = "<listen grpc='127.0.0.1:0' port='1'/>"; }, 3,
+     "remove it"},
+    {"unknown_element", [](Parts& p) { p.rest = "<limit/>"; }, 7, "limit"},
+    {"missing_fleet", [](Parts& p) { p.fleet = ""; }, 1, "add the missing element"},
+    {"two_sources", [](Parts& p) { p.fleet = "<fleet registry='127.0.0.1:1' file='x'/>"; }, 6, "one source"},
+    {"not_xml", [](Parts& p) { p.zones = "<zones><zone name='north'></zones>"; }, 4, "XML"},
+    {"foreign_zone", [](Parts& p) { p.node = "<node name='n' zone='east'/>"; }, 2, "not one of <zones>"},
+    {"class_twice",
+     [](Parts& p) {
+       p.classes = "<classes><class name='q' aim='1s'/>\n<class name='q' aim='1s'/></classes>";
+     },
+     6, "twice"},
+    {"keyed_without_window",
+     [](Parts& p) { p.classes = "<classes><class name='q' aim='1s' effect='keyed'/></classes>"; }, 5,
+     "rule 2"},
+    {"no_time_to_answer",
+     [](Parts& p) {
+       p.classes = "<classes><class name='q' aim='10ms' first-token-within='90ms'/></classes>";
+     },
+     5, "rule 1"},
+    {"margin_of_nothing", [](Parts& p) { p.rest = "<limits answer-margin='1ms'/>"; }, 7, "rule 1"},
+    {"connects_past_the_grace",
+     [](Parts& p) { p.rest = "<limits drain-grace='100ms'/><engines connect-timeout='250ms'/>"; }, 7,
+     "rule 3"},
+    {"cold_without_window", [](Parts& p) { p.rest = "<cold-start window='20s' warm-after='10s'/>"; }, 7,
+     "rule 4"},
+    {"cold_without_capacity", [](Parts& p) { p.rest = "<cold-start start-capacity='0'/>"; }, 7, "rule 4"},
+    {"pins_too_short", [](Parts& p) { p.rest = "<limits pin-limit='50ms'/>"; }, 7, "rule 5"},
+    {"one_attempt", [](Parts& p) { p.rest = "<limits max-attempts='1'/>"; }, 7, "a read and a write"},
+    {"shares_over_one",
+     [](Parts& p) {
+       p.rest = "<tenants><tenant name='a' share='0.7'/><tenant name='b' share='0.7'/></tenants>";
+     },
+     7, "more than 1"},
+    {"address_without_port", [](Parts& p) { p.listen = "<listen grpc='localhost'/>"; }, 3, "127.0.0.1:8080"},
+    {"port_too_large", [](Parts& p) { p.listen = "<listen grpc='127.0.0.1:99999'/>"; }, 3, "a.b.c.d:port"},
+};
+
+INSTANTIATE_TEST_SUITE_P(Corpus, BadSettings, ::testing::ValuesIn(kBad),
+                         [](const auto& info) { return info.param.name; });
+
+TEST(Settings, AMissingFileIsToldByName) {
+  try {
+    loadSettings("/nowhere/node.xml");
+    FAIL() << "a file that is not there was read";
+  } catch (const Faults& faults) {
+    EXPECT_NE(std::string(faults.what()).find("/nowhere/node.xml"), std::string::npos);
+  }
+}
+
+TEST(Settings, DifferencesAreTold) {
+  Parts before, after;
+  after.classes =
+      "<classes><class name='query' aim='1s' token-aim='60ms' first-token-within='6s' worth='3'/></classes>";
+  after.rest = "<log level='debug'/>";
+  const NodeSettings a = parseSettings(before.text(), "a"), b = parseSettings(after.text(), "b");
+  const auto lines = differences(a, b);
+  ASSERT_EQ(lines.size(), 2u);
+  EXPECT_EQ(lines[0], "log level: info -> debug");
+  EXPECT_EQ(lines[1], "class query first-token-within: 4s -> 6s");
+  EXPECT_EQ(fixedDifference(a, b), "");
+  after.rest = "<limits max-attempts='5'/>";
+  EXPECT_EQ(fixedDifference(a, parseSettings(after.text(), "b")), "limits max-attempts");
+}
+
+TEST(Units, OfDurationsAndSizes) {
+  EXPECT_DOUBLE_EQ(parseDuration("250ms")->count(), 0.25);
+  EXPECT_DOUBLE_EQ(parseDuration("1.5s")->count(), 1.5);
+  EXPECT_DOUBLE_EQ(parseDuration("2min")->count(), 120);
+  EXPECT_DOUBLE_EQ(parseDuration("40us")->count(), 4e-5);
+  for (const char* bad : {"", "5", "s", "-1s", "1 s", "1h", "nans"}) EXPECT_FALSE(parseDuration(bad)) << bad;
+  EXPECT_EQ(parseBytes("32KiB"), 32768u);
+  EXPECT_EQ(parseBytes("100"), 100u);
+  EXPECT_FALSE(parseBytes("1KB"));
+  for (const char* text : {"250ms", "1.5s", "40us", "13s"})
+    EXPECT_EQ(formatDuration(*parseDuration(text)), text);
+}
+
+}  // namespace
+}  // namespace gannetcourse::config
--- /dev/null
+++ b/tests/core_test.cpp
@@ -0,0 +1,253 @@
+// router::Core in virtual time: the life of requests and the rules that need no decision.
+#include <gtest/gtest.h>
+
+#include <algorithm>
+
+#include "gannetcourse/router.h"
+#include "harness.h"
+
+namespace gannetcourse::router {
+namespace {
+
+template <class T>
+std::vector<T> of(const std::vector<Command>& commands) {
+  std::vector<T> found;
+  for (const Command& c : commands) {
+    if (const T* one = std::get_if<T>(&c)) found.push_back(*one);
+  }
+  return found;
+}
+
+class CoreTest : public ::testing::Test {
+ protected:
+  CoreTest() : core(test::twoStageSettings(), Options{"n", Duration(0.05), true}) {
+    core.serverList(at(0), ServerList{ServerList::Scope::kFull,
+                                      {test::server(1, Role::kPrefill), test::server(2, Role::kDecode),
+                                       test::server(3, Role::kDecode)}});
+    take();
+  }
+
+  static Instant at(double seconds) { return Instant(Duration(seconds)); }
+
+  const std::vector<Command>& take() { return all = core.take(); }
+
+  // Lets time pass in small steps, collecting what the core says.
+  std::vector<Command> runTo(double end) {
+    std::vector<Command> said;
+    while (core.nextWake() && *core.nextWake() <= at(end)) {
+      core.advance(*core.nextWake());
+      for (Command& c : core.take()) said.push_back(std::move(c));
+    }
+    core.advance(at(end));
+    for (Command& c : core.take()) said.push_back(std::move(c));
+    return said;
+  }
+
+  void arrive(double when, RequestKey key, double timeLeft = 10, double firstTokenWithin = 4) {
+    Arrival a;
+    a.key = key;
+    a.timeLeft = Duration(timeLeft);
+    a.firstTokenWithin = Duration(firstTokenWithin);
+    auto work = std::make_shared<Work>();
+    work->promptTokens = 1000;
+    work->maxOutputTokens = 100;
+    a.work = work;
+    core.arrived(at(when), std::move(a));
+  }
+
+  // Brings a request to a stream whose first token has come; the call that carries it.
+  CallKey stream(double when, RequestKey key, double timeLeft = 10) {
+    arrive(when, key, timeLeft);
+    const auto reads = of<StartRead>(take());
+    EXPECT_EQ(reads.size(), 1u);
+    core.readEnded(at(when + 0.1), reads.front().call, "state", 0, {});
+    const auto writes = of<StartWrite>(take());
+    EXPECT_EQ(writes.size(), 1u);
+    EXPECT_EQ(writes.front().state, "state");
+    EXPECT_EQ(writes.front().reader, ServerId{1});
+    core.token(at(when + 0.2), writes.front().call, 0, "a");
+    return writes.front().call;
+  }
+
+  Core core;
+  std::vector<Command> all;
+};
+
+TEST_F(CoreTest, ServesARequestOverReadAndWrite) {
+  const CallKey call = stream(1, 7);
+  core.token(at(1.3), call, 1, "b");
+  core.callEnded(at(1.4), call, Outcome::kOk, 0, {}, "");
+  take();
+  const auto tokens = of<Deliver>(all);
+  ASSERT_EQ(tokens.size(), 2u);
+  EXPECT_EQ(tokens[1].text, "b");
+  const auto answers = of<Answer>(all);
+  ASSERT_EQ(answers.size(), 1u);
+  EXPECT_EQ(answers.front().verdict, Verdict::kServed);
+  EXPECT_EQ(core.owed(), 0u);
+  EXPECT_EQ(core.counts().served, 1u);
+}
+
+TEST_F(CoreTest, NothingOfAnEndedCallReachesTheClient) {
+  const CallKey call = stream(1, 7);
+  core.callEnded(at(1.4), call, Outcome::kOk, 0, {}, "");
+  take();
+  core.token(at(1.5), call, 1, "late");
+  core.callEnded(at(1.6), call, Outcome::kReset, 0, {}, "again");
+  EXPECT_TRUE(core.take().empty());
+  EXPECT_EQ(core.counts().failed, 0u);
+}
+
+TEST_F(CoreTest, ABrokenStreamFailsItsRequestOnce) {
+  const CallKey call = stream(1, 7);
+  core.callEnded(at(1.4), call, Outcome::kReset, 0, {}, "connection lost");
+  const auto answers = of<Answer>(take());
+  ASSERT_EQ(answers.size(), 1u);
+  EXPECT_EQ(answers.front().verdict, Verdict::kFailed);
+  EXPECT_NE(answers.front().why.find("connection lost"), std::string::npos);
+  EXPECT_EQ(core.owed(), 0u);
+}
+
+TEST_F(CoreTest, ATokenOutOfOrderEndsTheStream) {
+  const CallKey call = stream(1, 7);
+  core.token(at(1.3), call, 2, "gap");
+  take();
+  EXPECT_EQ(of<CallOff>(all).size(), 1u);
+  EXPECT_EQ(of<Answer>(all).front().verdict, Verdict::kFailed);
+  EXPECT_TRUE(of<Deliver>(all).size() == 1u);  // the first only
+}
+
+TEST_F(CoreTest, ARunningStreamEndsBeforeTheClientsTime) {
+  stream(1, 7, 3);
+  take();
+  const auto said = runTo(10);
+  const auto answers = of<Answer>(said);
+  ASSERT_EQ(answers.size(), 1u);
+  EXPECT_EQ(answers.front().verdict, Verdict::kDeadline);
+  EXPECT_EQ(of<CallOff>(said).size(), 1u);
+  const auto records = of<Record>(said);
+  const auto deadline = std::find_if(records.begin(), records.end(),
+                                     [](const Record& r) { return std::string(r.action) == "deadline"; });
+  ASSERT_NE(deadline, records.end());
+  EXPECT_LT(deadline->at, at(4));
+}
+
+TEST_F(CoreTest, ASilentEngineIsLeftAndTheAnswerComesInTime) {
+  arrive(1, 7, 10, 4);
+  take();
+  const auto said = runTo(12);
+  const auto answers = of<Answer>(said);
+  ASSERT_EQ(answers.size(), 1u);
+  EXPECT_NE(answers.front().verdict, Verdict::kServed);
+  EXPECT_GE(of<CallOff>(said).size(), 1u);
+  EXPECT_EQ(core.owed(), 0u);
+  EXPECT_EQ(core.counts().guarded, 0u) << "the module answers before the core has to";
+}
+
+TEST_F(CoreTest, ReadsThatAreCalledOffAreAlsoLetGo) {
+  arrive(1, 7, 10, 4);
+  const auto read = of<StartRead>(take()).front();
+  core.clientGone(at(1.1), 7);
+  take();
+  EXPECT_EQ(of<CallOff>(all).size(), 1u);
+  const auto gone = of<LetGo>(all);
+  ASSERT_EQ(gone.size(), 1u);
+  EXPECT_EQ(gone.front().id, read.id);
+  EXPECT_EQ(gone.front().engine, read.engine);
+  EXPECT_TRUE(of<Answer>(all).empty()) << "nobody is there to be answered";
+  EXPECT_EQ(core.owed(), 0u);
+}
+
+TEST_F(CoreTest, AStateThatComesAfterTheClientWentIsLetGo) {
+  arrive(1, 7);
+  const auto read = of<StartRead>(take()).front();
+  core.readEnded(at(1.1), read.call, "state", 0, {});
+  const auto write = of<StartWrite>(take()).front();
+  core.clientGone(at(1.2), 7);
+  take();
+  ASSERT_EQ(of<CallOff>(all).size(), 1u);
+  EXPECT_EQ(of<CallOff>(all).front().call, write.call);
+  const auto gone = of<LetGo>(all);
+  ASSERT_EQ(gone.size(), 1u);
+  EXPECT_EQ(gone.front().engine, ServerId{1});
+}
+
+TEST_F(CoreTest, NeverTwoCallsOfARequestAreOut) {
+  // An unkind fleet: each call fails in another way, at once or late.
+  std::map<CallKey, std::string> out;
+  const Outcome kinds[] = {Outcome::kError, Outcome::kReset, Outcome::kConnectFailed, Outcome::kRejected,
+                           Outcome::kStateLost};
+  std::size_t next = 0;
+  for (RequestKey key = 1; key <= 40; ++key) arrive(1 + 0.01 * static_cast<double>(key), key);
+  double now = 1.5;
+  for (int step = 0; step < 2000 && core.owed() > 0; ++step, now += 0.01) {
+    core.advance(at(now));
+    for (const Command& c : core.take()) {
+      if (const auto* read = std::get_if<StartRead>(&c)) out[read->call] = read->id;
+      if (const auto* write = std::get_if<StartWrite>(&c)) out[write->call] = write->id;
+      if (const auto* off = std::get_if<CallOff>(&c)) out.erase(off->call);
+      std::map<std::string, int> open;
+      for (const auto& [call, id] : out) ASSERT_EQ(++open[id], 1) << id;
+    }
+    if (out.empty() || step % 3 != 0) continue;
+    const CallKey call = out.begin()->first;
+    out.erase(out.begin());
+    core.callEnded(at(now), call, kinds[next++ % std::size(kinds)], 0, {}, "unkind");
+  }
+  EXPECT_EQ(core.owed(), 0u);
+  const Counts& counts = core.counts();
+  EXPECT_EQ(counts.served + counts.refused + counts.failed + counts.deadline, 40u);
+}
+
+TEST_F(CoreTest, ADrainingNodeRefusesWhatIsNewAndFinishesTheRest) {
+  const CallKey call = stream(1, 7);
+  core.drain(at(1.3));
+  take();
+  arrive(1.4, 8);
+  const auto answers = of<Answer>(take());
+  ASSERT_EQ(answers.size(), 1u);
+  EXPECT_EQ(answers.front().request, 8u);
+  EXPECT_EQ(answers.front().verdict, Verdict::kRefused);
+  core.callEnded(at(1.5), call, Outcome::kOk, 0, {}, "");
+  EXPECT_EQ(of<Answer>(take()).front().verdict, Verdict::kServed);
+  EXPECT_EQ(core.owed(), 0u);
+}
+
+TEST_F(CoreTest, TwoCoresShareNothing) {
+  Core other(test::twoStageSettings(), Options{"m", Duration(0.05), true});
+  other.serverList(at(0), ServerList{ServerList::Scope::kFull, {}});
+  other.take();
+  arrive(1, 7);
+  EXPECT_EQ(of<StartRead>(take()).size(), 1u);
+  EXPECT_EQ(other.owed(), 0u);
+  EXPECT_TRUE(other.take().empty());
+  EXPECT_EQ(other.counts().taken, 0u);
+}
+
+TEST_F(CoreTest, SameEventsGiveTheSameCommands) {
+  const auto play = [] {
+    Core core(test::twoStageSettings(), Options{"n", Duration(0.05), true});
+    std::string said;
+    core.serverList(at(0), ServerList{ServerList::Scope::kFull,
+                                      {test::server(1, Role::kPrefill), test::server(2, Role::kDecode)}});
+    for (RequestKey key = 1; key <= 30; ++key) {
+      Arrival a;
+      a.key = key;
+      a.timeLeft = Duration(5);
+      auto work = std::make_shared<Work>();
+      work->promptTokens = 100 * static_cast<std::uint32_t>(key);
+      a.work = work;
+      core.arrived(at(0.05 * static_cast<double>(key)), std::move(a));
+      for (const Command& c : core.take()) {
+        said += std::to_string(c.index());
+        if (const auto* read = std::get_if<StartRead>(&c))
+          said += read->id + std::to_string(read->engine.value);
+      }
+    }
+    return said;
+  };
+  EXPECT_EQ(play(), play());
+}
+
+}  // namespace
+}  // namespace gannetcourse::router
--- /dev/null
+++ b/tests/node_test.cpp
@@ -0,0 +1,604 @@
+// The hard cases end to end on loopback: a whole node, scripted engines, a client. Each waits for what must
+// happen, with a bound that only a broken program reaches.
+#include "node/node.h"
+
+#include <gtest/gtest.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <filesystem>
+#include <fstream>
+
+#include "gannetcourse/v1/chat.pb.h"
+#include "gannetcourse/v1/engine.pb.h"
+#include "gannetcourse/v1/health.pb.h"
+#include "gannetcourse/v1/registry.pb.h"
+#include "grpc/channel.h"
+#include "grpc/server.h"
+#include "node/node.h"
+
+namespace gannetcourse::node {
+namespace {
+
+constexpr double kBound = 20;  // seconds
+
+template <class Message>
+Message parsed(std::string_view bytes) {
+  Message message;
+  EXPECT_TRUE(message.ParseFromArray(bytes.data(), static_cast<int>(bytes.size())));
+  return message;
+}
+
+using Call = std::shared_ptr<grpc::ServerCall>;
+
+// An engine whose answers the test scripts; by default it reads and writes at once.
+struct ScriptedEngine {
+  explicit ScriptedEngine(net::Loop& loop, std::uint32_t number, std::uint16_t port = 0)
+      : id(number), server(loop, {"127.0.0.1", port}) {
+    server.handle("/gannetcourse.v1.Engine/Prefill", [this](const Call& call, std::string_view bytes) {
+      ++reads;
+      calls.push_back(call);
+      call->onCancelled = [this] { ++cancelled; };
+      const auto ask = parsed<v1::PrefillRequest>(bytes);
+      if (onRead) return onRead(call, ask);
+      answerRead(call);
+    });
+    server.handle("/gannetcourse.v1.Engine/Decode", [this](const Call& call, std::string_view bytes) {
+      ++writes;
+      calls.push_back(call);
+      call->onCancelled = [this] { ++cancelled; };
+      const auto ask = parsed<v1::DecodeRequest>(bytes);
+      if (onWrite) return onWrite(call, ask);
+      token(call, 0, "one ");
+      token(call, 1, "two");
+      call->finish({});
+    });
+    server.handle("/gannetcourse.v1.Engine/Release", [this](const Call& call, std::string_view) {
+      ++releases;
+      call->send("");
+      call->finish({});
+    });
+  }
+
+  static void answerRead(const Call& call) {
+    v1::PrefillReply reply;
+    reply.set_state("state");
+    call->send(reply.SerializeAsString());
+    call->finish({});
+  }
+  static void token(const Call& call, std::uint32_t index, const std::string& text) {
+    v1::DecodeToken message;
+    message.set_index(index);
+    message.set_text(text);
+    call->send(message.SerializeAsString());
+  }
+
+  std::uint32_t id;
+  grpc::Server server;
+  int reads = 0, writes = 0, releases = 0, cancelled = 0;
+  std::vector<Call> calls;
+  std::function<void(const Call&, const v1::PrefillRequest&)> onRead;
+  std::function<void(const Call&, const v1::DecodeRequest&)> onWrite;
+};
+
+struct Asked {
+  std::shared_ptr<grpc::ClientCall> call;
+  std::vector<std::string> tokens;
+  std::optional<grpc::CallEnd> end;
+  int ends = 0;
+  bool ended(grpc::Code code) const {
+    return end && end->how == grpc::CallEnd::How::kStatus && end->status.code == code;
+  }
+  std::string verdict() const {
+    const std::string* told = end ? http2::find(end->trailers, "gannetcourse-verdict") : nullptr;
+    return told == nullptr ? "" : *told;
+  }
+};
+
+class NodeTest : public ::testing::Test {
+ protected:
+  NodeTest()
+      : folder(std::filesystem::temp_directory_path() / ("gannetcourse-test-" + std::to_string(getpid()))) {
+    std::filesystem::create_directories(folder);
+  }
+  ~NodeTest() override { std::filesystem::remove_all(folder); }
+
+  std::string writeFleet(const std::vector<std::pair<ScriptedEngine*, const char*>>& engines) {
+    std::string text = "<fleet xmlns='urn:gannetcourse:fleet:1'>";
+    for (const auto& [engine, role] : engines) {
+      text += "<engine id='" + std::to_string(engine->id) +
+              "' address='127.0.0.1:" + std::to_string(engine->server.port()) + "' role='" + role +
+              "' zone='north' memory-tokens='100000'/>";
+    }
+    const std::string path = (folder / "fleet.xml").string();
+    std::ofstream(path) << text << "</fleet>";
+    return path;
+  }
+
+  static std::string settingsText(const std::string& fleet, const std::string& extra = "") {
+    return "<gannetcourse xmlns='urn:gannetcourse:settings:1'><node name='n1' zone='north'/>"
+           "<listen grpc='127.0.0.1:0' stream-buffer='8KiB' max-metadata='2KiB' max-message='64KiB'/>"
+           "<zones><zone name='north'/></zones><classes>"
+           "<class name='query' aim='1s' token-aim='60ms' first-token-within='6s' max-prompt-tokens='5000'/>"
+           "<class name='order' aim='1s' first-token-within='6s' effect='unsafe'/></classes>"
+           "<limits max-attempts='6' answer-margin='200ms'/>" +
+           fleet + extra + "</gannetcourse>";
+  }
+
+  void start(const std::string& fleet, const std::string& extra = "") {
+    Node::Hooks hooks;
+    hooks.record = [this](const router::Record& record) { records.push_back(record); };
+    hooks.log = [this](const std::string&, const std::string&, const std::string& text) {
+      logged.push_back(text);
+    };
+    node = std::make_unique<Node>(loop, config::parseSettings(settingsText(fleet, extra), "node.xml"), "t",
+                                  hooks);
+    grpc::ChannelOptions options;
+    options.http2.streamWindow = 4096;
+    channel = std::make_unique<grpc::Channel>(loop, net::Endpoint{"127.0.0.1", node->port()}, options);
+  }
+
+  void startWithPair() {
+    start("<fleet file='" + writeFleet({{&reader, "prefill"}, {&writer, "decode"}}) + "'/>");
+  }
+
+  static v1::GenerateRequest query() {
+    v1::GenerateRequest ask;
+    ask.set_request_class("query");
+    ask.set_prompt("why?");
+    ask.set_prompt_tokens(100);
+    ask.set_max_output_tokens(10);
+    return ask;
+  }
+
+  std::shared_ptr<Asked> ask(const v1::GenerateRequest& request = query(), Duration timeout = Duration(10)) {
+    auto asked = std::make_shared<Asked>();
+    asked->call = channel->start("/gannetcourse.v1.Chat/Generate", request.SerializeAsString(), timeout);
+    asked->call->onMessage = [asked](std::string_view bytes) {
+      asked->tokens.push_back(parsed<v1::GenerateToken>(bytes).text());
+    };
+    asked->call->onEnd = [asked](const grpc::CallEnd& end) {
+      asked->end = end;
+      ++asked->ends;
+    };
+    return asked;
+  }
+
+  template <class Done>
+  bool until(const Done& done, double bound = kBound) {
+    const Instant end = net::monotonicNow() + Duration(bound);
+    while (!done() && net::monotonicNow() < end) loop.step(Duration(0.05));
+    return done();
+  }
+  void settle(double seconds = 0.3) {
+    until([] { return false; }, seconds);
+  }
+
+  std::filesystem::path folder;
+  net::Loop loop;
+  ScriptedEngine reader{loop, 1}, writer{loop, 2};
+  std::vector<router::Record> records;
+  std::vector<std::string> logged;
+  std::unique_ptr<Node> node;
+  std::unique_ptr<grpc::Channel> channel;
+};
+
+TEST_F(NodeTest, CarriesAnAnswerFromEndToEnd) {
+  startWithPair();
+  const auto asked = ask();
+  ASSERT_TRUE(until([&] { return asked->end.has_value(); }));
+  EXPECT_TRUE(asked->ended(grpc::Code::kOk)) << asked->end->status.message;
+  EXPECT_EQ(asked->verdict(), "served");
+  EXPECT_EQ(asked->tokens, (std::vector<std::string>{"one ", "two"}));
+  settle();
+  EXPECT_EQ(reader.reads, 1);
+  EXPECT_EQ(writer.writes, 1);
+  EXPECT_EQ(node->core().owed(), 0u);
+}
+
+TEST_F(NodeTest, NamesTheFieldThatIsWrong) {
+  startWithPair();
+  struct Case {
+    void (*spoil)(v1::GenerateRequest&);
+    const char* names;
+  };
+  const Case cases[] = {
+      {[](v1::GenerateRequest& r) { r.set_request_class("nobody"); }, "request_class"},
+      {[](v1::GenerateRequest& r) { r.set_tenant("stranger"); }, "tenant"},
+      {[](v1::GenerateRequest& r) { r.set_prompt_tokens(5001); }, "prompt_tokens"},
+      {[](v1::GenerateRequest& r) { r.clear_prompt(); }, "prompt"},
+      {[](v1::GenerateRequest& r) { r.set_max_output_tokens(100000); }, "max_output_tokens"},
+      {[](v1::GenerateRequest& r) { r.set_prefix_tokens(101); }, "prefix_tokens"},
+  };
+  for (const Case& c : cases) {
+    v1::GenerateRequest request = query();
+    c.spoil(request);
+    const auto asked = ask(request);
+    ASSERT_TRUE(until([&] { return asked->end.has_value(); }));
+    EXPECT_TRUE(asked->ended(grpc::Code::kInvalidArgument)) << c.names;
+    EXPECT_EQ(asked->end->status.message.rfind(c.names, 0), 0u) << asked->end->status.message;
+  }
+  const auto unbounded = std::make_shared<Asked>();
+  unbounded->call = channel->start("/gannetcourse.v1.Chat/Generate", query().SerializeAsString());
+  unbounded->call->onEnd = [unbounded](const grpc::CallEnd& end) { unbounded->end = end; };
+  ASSERT_TRUE(until([&] { return unbounded->end.has_value(); }));
+  EXPECT_TRUE(unbounded->ended(grpc::Code::kInvalidArgument));
+  EXPECT_NE(unbounded->end->status.message.find("grpc-timeout"), std::string::npos);
+  const auto past = ask(query(), Duration(0.05));
+  ASSERT_TRUE(until([&] { return past->end.has_value(); }));
+  EXPECT_TRUE(past->ended(grpc::Code::kDeadlineExceeded));
+  EXPECT_EQ(reader.reads, 0);
+  EXPECT_EQ(node->core().counts().taken, 0u) << "what is wrong is not taken";
+}
+
+TEST_F(NodeTest, AWriterThatGoesSilentMidStreamIsEndedInTime) {
+  startWithPair();
+  writer.onWrite = [](const Call& call, const v1::DecodeRequest&) { ScriptedEngine::token(call, 0, "one "); };
+  const auto asked = ask(query(), Duration(2));
+  const Instant from = net::monotonicNow();
+  ASSERT_TRUE(until([&] { return asked->end.has_value(); }));
+  EXPECT_TRUE(asked->ended(grpc::Code::kDeadlineExceeded));
+  EXPECT_GE((net::monotonicNow() - from).count(), 1.0) << "not before its time";
+  EXPECT_EQ(asked->tokens.size(), 1u);
+  EXPECT_TRUE(until([&] { return writer.cancelled == 1; })) << "the engine's call is called off";
+  EXPECT_EQ(node->core().owed(), 0u);
+}
+
+TEST_F(NodeTest, AClientThatCancelsWhileAFurtherAttemptIsPending) {
+  startWithPair();
+  int errors = 0;
+  reader.onRead = [&](const Call& call, const v1::PrefillRequest&) {
+    if (errors++ == 0) return call->finish({grpc::Code::kInternal, "first"});
+    // The second read stays out.
+  };
+  const auto asked = ask();
+  ASSERT_TRUE(until([&] { return reader.reads == 2; }));
+  asked->call->cancel();
+  EXPECT_TRUE(until([&] { return reader.cancelled == 1 && reader.releases == 1; }));
+  settle();
+  EXPECT_EQ(reader.reads, 2) << "nothing is sent for it after";
+  EXPECT_EQ(asked->ends, 1);
+  EXPECT_EQ(node->core().owed(), 0u);
+}
+
+TEST_F(NodeTest, AnEngineThatAnswersAfterItsCallWasCalledOff) {
+  startWithPair();
+  Call held;
+  reader.onRead = [&](const Call& call, const v1::PrefillRequest&) { held = call; };
+  const auto asked = ask();
+  ASSERT_TRUE(until([&] { return held != nullptr; }));
+  asked->call->cancel();
+  ASSERT_TRUE(until([&] { return reader.cancelled == 1; }));
+  ScriptedEngine::answerRead(held);
+  settle();
+  EXPECT_EQ(writer.writes, 0);
+  EXPECT_EQ(node->core().owed(), 0u);
+}
+
+TEST_F(NodeTest, AConnectionThatBreaksBetweenRequestAndFirstAnswer) {
+  startWithPair();
+  reader.onRead = [&](const Call& call, const v1::PrefillRequest&) {
+    if (reader.reads == 1) return loop.defer([this] { reader.server.abortAll(); });
+    ScriptedEngine::answerRead(call);
+  };
+  const auto asked = ask();
+  ASSERT_TRUE(until([&] { return asked->end.has_value(); }));
+  EXPECT_TRUE(asked->ended(grpc::Code::kOk)) << "a read has no effect: it is tried again";
+  EXPECT_EQ(reader.reads, 2);
+  EXPECT_EQ(asked->tokens.size(), 2u);
+}
+
+TEST_F(NodeTest, AnUnsafeRequestThatMayHaveRunIsNotSentAgain) {
+  startWithPair();
+  writer.onWrite = [&](const Call&, const v1::DecodeRequest&) {
+    loop.defer([this] { writer.server.abortAll(); });
+  };
+  v1::GenerateRequest order = query();
+  order.set_request_class("order");
+  const auto asked = ask(order);
+  ASSERT_TRUE(until([&] { return asked->end.has_value(); }));
+  EXPECT_TRUE(asked->ended(grpc::Code::kAborted));
+  EXPECT_EQ(asked->verdict(), "failed");
+  settle();
+  EXPECT_EQ(writer.writes, 1);
+}
+
+TEST_F(NodeTest, ARefusalCarriesRetryAdvice) {
+  start("<fleet file='" + writeFleet({}) + "'/>");
+  const auto asked = ask();
+  ASSERT_TRUE(until([&] { return asked->end.has_value(); }));
+  EXPECT_TRUE(asked->ended(grpc::Code::kUnavailable)) << asked->end->status.message;
+  EXPECT_EQ(asked->verdict(), "refused");
+  const std::string* advice = http2::find(asked->end->trailers, "grpc-retry-pushback-ms");
+  ASSERT_NE(advice, nullptr);
+  EXPECT_GT(std::stoi(*advice), 0);
+}
+
+TEST_F(NodeTest, AReaderThatIsGoneIsPassedOver) {
+  ScriptedEngine other(loop, 3);
+  start("<fleet file='" + writeFleet({{&reader, "prefill"}, {&other, "prefill"}, {&writer, "decode"}}) +
+        "'/>");
+  reader.server.refuse(true);
+  for (int i = 0; i < 4; ++i) {
+    const auto asked = ask();
+    ASSERT_TRUE(until([&] { return asked->end.has_value(); }));
+    EXPECT_TRUE(asked->ended(grpc::Code::kOk)) << asked->end->status.message;
+  }
+  EXPECT_EQ(other.reads, 4);
+}
+
+TEST_F(NodeTest, GoawayWithCallsInFlightLosesNothing) {
+  startWithPair();
+  Call held;
+  writer.onWrite = [&](const Call& call, const v1::DecodeRequest&) {
+    ScriptedEngine::token(call, 0, "one ");
+    held = call;
+  };
+  const auto asked = ask();
+  ASSERT_TRUE(until([&] { return held != nullptr && asked->tokens.size() == 1; }));
+  writer.server.drain();
+  settle();
+  ScriptedEngine::token(held, 1, "two");
+  held->finish({});
+  ASSERT_TRUE(until([&] { return asked->end.has_value(); }));
+  EXPECT_TRUE(asked->ended(grpc::Code::kOk)) << asked->end->status.message;
+  EXPECT_EQ(asked->tokens.size(), 2u);
+}
+
+TEST_F(NodeTest, AReplacedEngineOnTheSamePort) {
+  auto old = std::make_unique<ScriptedEngine>(loop, 7);
+  const std::uint16_t port = old->server.port();
+  start("<fleet file='" + writeFleet({{&reader, "prefill"}, {old.get(), "decode"}}) + "'/>");
+  auto asked = ask();
+  ASSERT_TRUE(until([&] { return asked->end.has_value(); }));
+  EXPECT_EQ(old->writes, 1);
+  old->server.abortAll();
+  settle(0.05);
+  old.reset();
+  ScriptedEngine fresh(loop, 8, port);
+  writeFleet({{&reader, "prefill"}, {&fresh, "decode"}});
+  node->reload(node->settings());
+  asked = ask();
+  ASSERT_TRUE(until([&] { return asked->end.has_value(); }));
+  EXPECT_TRUE(asked->ended(grpc::Code::kOk)) << asked->end->status.message;
+  EXPECT_EQ(fresh.writes, 1);
+}
+
+TEST_F(NodeTest, ADrainFinishesStreamsAndRefusesTheRest) {
+  startWithPair();
+  Call held;
+  writer.onWrite = [&](const Call& call, const v1::DecodeRequest&) {
+    ScriptedEngine::token(call, 0, "one ");
+    held = call;
+  };
+  const auto streaming = ask();
+  ASSERT_TRUE(until([&] { return streaming->tokens.size() == 1; }));
+  Call reading;
+  reader.onRead = [&](const Call& call, const v1::PrefillRequest&) { reading = call; };
+  const auto queued = ask();
+  ASSERT_TRUE(until([&] { return reading != nullptr; }));
+  bool drained = false;
+  node->drain([&] { drained = true; });
+  const auto late = ask();
+  settle();
+  EXPECT_FALSE(drained) << "two requests are still owed an answer";
+  held->finish({});
+  writer.onWrite = nullptr;
+  ScriptedEngine::answerRead(reading);
+  ASSERT_TRUE(until([&] { return drained; }));
+  EXPECT_TRUE(streaming->ended(grpc::Code::kOk));
+  EXPECT_TRUE(queued->ended(grpc::Code::kOk));
+  ASSERT_TRUE(until([&] { return late->end.has_value(); }));
+  EXPECT_FALSE(late->ended(grpc::Code::kOk));
+}
+
+TEST_F(NodeTest, ABrokenReloadChangesNothing) {
+  startWithPair();
+  std::ofstream(folder / "fleet.xml") << "<fleet xmlns='urn:gannetcourse:fleet:1'><engine id='1'/></fleet>";
+  EXPECT_THROW(node->reload(node->settings()), config::Faults);
+  config::NodeSettings other = node->settings();
+  other.name = "n2";
+  EXPECT_THROW(node->reload(other), std::invalid_argument);
+  const auto asked = ask();
+  ASSERT_TRUE(until([&] { return asked->end.has_value(); }));
+  EXPECT_TRUE(asked->ended(grpc::Code::kOk));
+}
+
+TEST_F(NodeTest, AReloadChangesTheClassLimits) {
+  startWithPair();
+  config::NodeSettings fresh = node->settings();
+  fresh.classes[0].maxPromptTokens = 50;
+  node->reload(fresh);
+  const auto asked = ask();
+  ASSERT_TRUE(until([&] { return asked->end.has_value(); }));
+  EXPECT_TRUE(asked->ended(grpc::Code::kInvalidArgument));
+  EXPECT_NE(std::find(logged.begin(), logged.end(), "class query max-prompt-tokens: 5000 -> 50"),
+            logged.end());
+}
+
+// ---- Flow control ----
+TEST_F(NodeTest, AClientThatNeverReadsHoldsFewBytesAndCostsOthersNothing) {
+  startWithPair();
+  const std::string text(1000, 'x');
+  std::uint32_t sent = 0;
+  Call slow;
+  writer.onWrite = [&](const Call& call, const v1::DecodeRequest& ask) {
+    if (ask.seed() != 99) {
+      ScriptedEngine::token(call, 0, "quick");
+      return call->finish({});
+    }
+    slow = call;
+    for (; sent < 500; ++sent) ScriptedEngine::token(call, sent, text);
+  };
+  v1::GenerateRequest request = query();
+  request.set_seed(99);
+  const auto asked = ask(request, Duration(30));
+  asked->call->pause(true);
+  ASSERT_TRUE(until([&] { return slow != nullptr; }));
+  settle(0.5);
+  // The engine still holds most of it: the node took its buffer, a window of each side, and no more.
+  EXPECT_GT(slow->pending(), 500000u - 8 * 1024 - 8 * 1024 - 4096 - 20000);
+  const auto quick = ask();
+  ASSERT_TRUE(until([&] { return quick->end.has_value(); }));
+  EXPECT_TRUE(quick->ended(grpc::Code::kOk));
+  slow->finish({});
+  asked->call->pause(false);
+  ASSERT_TRUE(until([&] { return asked->end.has_value(); }));
+  EXPECT_TRUE(asked->ended(grpc::Code::kOk)) << asked->end->status.message;
+  EXPECT_EQ(asked->tokens.size(), 500u);
+}
+
+// ---- Registry ----
+struct ScriptedRegistry {
+  explicit ScriptedRegistry(net::Loop& loop, std::uint16_t port = 0) : server(loop, {"127.0.0.1", port}) {
+    server.handle("/gannetcourse.v1.Registry/Watch", [this](const Call& call, std::string_view) {
+      ++watches;
+      watch = call;
+      if (!first.entries().empty() || sendEmpty) call->send(first.SerializeAsString());
+    });
+  }
+  static void add(v1::EngineList& list, const ScriptedEngine& engine, v1::EngineEntry::Role role,
+                  v1::EngineEntry::State state = v1::EngineEntry::SERVING) {
+    auto* entry = list.add_entries();
+    entry->set_id(engine.id);
+    entry->set_address("127.0.0.1:" + std::to_string(engine.server.port()));
+    entry->set_role(role);
+    entry->set_zone("north");
+    entry->set_state(state);
+  }
+  grpc::Server server;
+  v1::EngineList first;
+  bool sendEmpty = false;
+  int watches = 0;
+  Call watch;
+};
+
+TEST_F(NodeTest, ARegistryThatIsGoneAtStartIsFoundLater) {
+  std::uint16_t port = 0;
+  {
+    ScriptedRegistry reserve(loop);
+    port = reserve.server.port();
+  }
+  start("<fleet registry='127.0.0.1:" + std::to_string(port) + "'/>");
+  settle();
+  EXPECT_EQ(node->engines(), 0u);
+  ScriptedRegistry registry(loop, port);
+  registry.first.set_full(true);
+  ScriptedRegistry::add(registry.first, reader, v1::EngineEntry::PREFILL);
+  ScriptedRegistry::add(registry.first, writer, v1::EngineEntry::DECODE);
+  ASSERT_TRUE(until([&] { return node->engines() == 2; }));
+  const auto asked = ask();
+  ASSERT_TRUE(until([&] { return asked->end.has_value(); }));
+  EXPECT_TRUE(asked->ended(grpc::Code::kOk));
+}
+
+TEST_F(NodeTest, AnEmptyRegistryLeavesNothingToSendTo) {
+  ScriptedRegistry registry(loop);
+  registry.first.set_full(true);
+  registry.sendEmpty = true;
+  start("<fleet registry='127.0.0.1:" + std::to_string(registry.server.port()) + "'/>");
+  ASSERT_TRUE(until([&] { return registry.watches == 1; }));
+  const auto asked = ask();
+  ASSERT_TRUE(until([&] { return asked->end.has_value(); }));
+  EXPECT_EQ(asked->verdict(), "refused");
+}
+
+TEST_F(NodeTest, NothingNewGoesToAnEngineThatDrains) {
+  ScriptedEngine other(loop, 3);
+  ScriptedRegistry registry(loop);
+  registry.first.set_full(true);
+  ScriptedRegistry::add(registry.first, reader, v1::EngineEntry::PREFILL);
+  ScriptedRegistry::add(registry.first, writer, v1::EngineEntry::DECODE);
+  ScriptedRegistry::add(registry.first, other, v1::EngineEntry::DECODE);
+  start("<fleet registry='127.0.0.1:" + std::to_string(registry.server.port()) + "'/>");
+  ASSERT_TRUE(until([&] { return node->engines() == 3; }));
+  v1::EngineList change;
+  ScriptedRegistry::add(change, writer, v1::EngineEntry::DECODE, v1::EngineEntry::DRAINING);
+  registry.watch->send(change.SerializeAsString());
+  settle();
+  for (int i = 0; i < 6; ++i) {
+    const auto asked = ask();
+    ASSERT_TRUE(until([&] { return asked->end.has_value(); }));
+    EXPECT_TRUE(asked->ended(grpc::Code::kOk));
+  }
+  EXPECT_EQ(writer.writes, 0);
+  EXPECT_EQ(other.writes, 6);
+}
+
+TEST_F(NodeTest, AWatchThatBreaksKeepsTheListAndIsAskedForAgain) {
+  ScriptedRegistry registry(loop);
+  registry.first.set_full(true);
+  ScriptedRegistry::add(registry.first, reader, v1::EngineEntry::PREFILL);
+  ScriptedRegistry::add(registry.first, writer, v1::EngineEntry::DECODE);
+  const std::string saved = (folder / "saved.xml").string();
+  const std::string fleet =
+      "<fleet registry='127.0.0.1:" + std::to_string(registry.server.port()) + "' saved='" + saved + "'/>";
+  start(fleet);
+  ASSERT_TRUE(until([&] { return node->engines() == 2; }));
+  registry.server.abortAll();
+  settle(0.1);
+  const auto asked = ask();
+  ASSERT_TRUE(until([&] { return asked->end.has_value(); }));
+  EXPECT_TRUE(asked->ended(grpc::Code::kOk)) << "the last list is worked on";
+  EXPECT_TRUE(until([&] { return registry.watches == 2; }));
+  // A start while the registry is away works on the saved list.
+  channel.reset();
+  node.reset();
+  registry.server.refuse(true);
+  start(fleet);
+  EXPECT_EQ(node->engines(), 2u);
+  const auto again = ask();
+  ASSERT_TRUE(until([&] { return again->end.has_value(); }));
+  EXPECT_TRUE(again->ended(grpc::Code::kOk));
+}
+
+// ---- Health ----
+TEST_F(NodeTest, HealthFollowsTheNode) {
+  startWithPair();
+  using ::grpc::health::v1::HealthCheckRequest;
+  using ::grpc::health::v1::HealthCheckResponse;
+  std::vector<int> told;
+  bool over = false;
+  const auto watch = channel->start("/grpc.health.v1.Health/Watch", HealthCheckRequest().SerializeAsString());
+  watch->onMessage = [&](std::string_view bytes) {
+    told.push_back(parsed<HealthCheckResponse>(bytes).status());
+  };
+  watch->onEnd = [&](const grpc::CallEnd&) { over = true; };
+  ASSERT_TRUE(until([&] { return !told.empty(); }));
+  bool drained = false;
+  node->drain([&] { drained = true; });
+  ASSERT_TRUE(until([&] { return over && drained; }));
+  EXPECT_EQ(told, (std::vector<int>{HealthCheckResponse::SERVING, HealthCheckResponse::NOT_SERVING}));
+}
+
+// ---- Many connections ----
+TEST_F(NodeTest, TenThousandConnectionsOpenedAndClosed) {
+  startWithPair();
+  const sockaddr_in to = [&] {
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(node->port());
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    return address;
+  }();
+  for (int i = 0; i < 10000; ++i) {
+    const int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+    ASSERT_GE(fd, 0);
+    connect(fd, reinterpret_cast<const sockaddr*>(&to), sizeof to);
+    // Half of them leave without a word, half after some bytes that are no HTTP/2.
+    if (i % 2 == 0) [[maybe_unused]]
+      const auto sent = send(fd, "GET / HTTP/1.1\r\n\r\n", 18, MSG_NOSIGNAL);
+    const linger now{1, i % 3 == 0 ? 0 : 1};
+    if (i % 3 == 0) setsockopt(fd, SOL_SOCKET, SO_LINGER, &now, sizeof now);
+    close(fd);
+    if (i % 50 == 0) loop.step(Duration(0));
+  }
+  settle();
+  const auto asked = ask();
+  ASSERT_TRUE(until([&] { return asked->end.has_value(); }));
+  EXPECT_TRUE(asked->ended(grpc::Code::kOk));
+}
+
+}  // namespace
+}  // namespace gannetcourse::node
