Independent gRPC client tests, a relay baseline and a cost benchmark

Change: the gRPC C++ library (tests only) runs unary, streaming, cancel, deadline, metadata, large message, compression and keepalive cases against a node in process. gannetcourse-lab bench measures node, relay and direct engines in turn within one run, the core and the module without a wire, and memory with 1,000 and 10,000 streams.

--- a/lab/main.cpp
+++ b/lab/main.cpp
@@ -4,6 +4,7 @@
 #include <filesystem>
 #include <iostream>
 
+#include "bench.h"
 #include "config/xml.h"
 #include "play.h"
 
@@ -61,8 +62,19 @@
   day->add_option("--break", options.breakage,
                   "put a fault into the nodes, to prove the audit (with --in-process)");
   day->add_flag("--quiet", options.quiet, "no progress");
+  CLI::App* const bench =
+      app.add_subcommand("bench", "measure what the node costs, as ratios within one run");
+  lab::BenchOptions measure;
+  measure.nodeBinary = options.nodeBinary;
+  bench->add_option("--seconds", measure.seconds, "of each measurement")->check(CLI::Range(0.1, 60.0));
+  bench->add_option("--rounds", measure.rounds, "of all measurements in turn")->check(CLI::Range(1, 20));
+  bench->add_flag("!--no-memory", measure.memory, "leave out the memory of open streams");
   CLI11_PARSE(app, argc, argv);
   try {
+    if (bench->parsed()) {
+      lab::bench(measure, std::cout);
+      return 0;
+    }
     return playDay(file, options);
   } catch (const config::Faults& faults) {
     for (const config::Fault& fault : faults.list()) std::cerr << fault.text() << '\n';
--- a/lab/nodes.cpp
+++ b/lab/nodes.cpp
@@ -50,6 +50,7 @@
   }
 
   std::uint16_t port() const override { return port_; }
+  int pid() const override { return pid_; }
   void drain() override { ::kill(pid_, SIGTERM); }
   bool ended() override {
     if (!ended_ && waitpid(pid_, &status_, WNOHANG) == pid_) ended_ = true;
--- a/lab/nodes.h
+++ b/lab/nodes.h
@@ -19,7 +19,8 @@
   // Whether it has ended, and well.
   virtual bool ended() = 0;
   virtual bool endedWell() const = 0;
-  virtual void kill() = 0;  // at once, as a machine that dies
+  virtual int pid() const { return 0; }  // of its process; 0 where it has none
+  virtual void kill() = 0;               // at once, as a machine that dies
 };
 
 // `binary` runs as `binary serve FILE`; its settings, output and log go to `folder`.
--- /dev/null
+++ b/lab/relay.cpp
@@ -0,0 +1,58 @@
+#include "relay.h"
+
+#include "gannetcourse/v1/chat.pb.h"
+#include "gannetcourse/v1/engine.pb.h"
+
+namespace gannetcourse::lab {
+
+Relay::Relay(net::Loop& loop, const std::vector<net::Endpoint>& readers,
+             const std::vector<net::Endpoint>& writers)
+    : server_(loop, net::Endpoint{}), readerAddresses_(readers) {
+  for (const auto& to : readers) readers_.push_back(std::make_unique<grpc::Channel>(loop, to));
+  for (const auto& to : writers) writers_.push_back(std::make_unique<grpc::Channel>(loop, to));
+  server_.handle("/gannetcourse.v1.Chat/Generate", [this](const std::shared_ptr<grpc::ServerCall>& call,
+                                                          std::string_view bytes) { take(call, bytes); });
+}
+
+void Relay::take(const std::shared_ptr<grpc::ServerCall>& call, std::string_view bytes) {
+  v1::GenerateRequest ask;
+  if (!ask.ParseFromArray(bytes.data(), static_cast<int>(bytes.size())))
+    return call->finish({grpc::Code::kInvalidArgument, "request"});
+  const std::size_t reader = ++turn_ % readers_.size();
+  v1::PrefillRequest read;
+  read.set_prompt(ask.prompt());
+  read.set_prompt_tokens(ask.prompt_tokens());
+  v1::DecodeRequest decode;
+  decode.set_seed(ask.seed());
+  decode.set_max_output_tokens(ask.max_output_tokens());
+  decode.set_prompt_tokens(ask.prompt_tokens());
+  decode.set_reader_address(readerAddresses_[reader].text());
+  const auto first =
+      readers_[reader]->start("/gannetcourse.v1.Engine/Prefill", read.SerializeAsString(), call->timeout());
+  first->onMessage = [this, call, decode](std::string_view message) mutable {
+    v1::PrefillReply reply;
+    reply.ParseFromArray(message.data(), static_cast<int>(message.size()));
+    decode.set_state(reply.state());
+    write(call, decode.SerializeAsString());
+  };
+  first->onEnd = [call](const grpc::CallEnd& end) {
+    if (end.status.code != grpc::Code::kOk) call->finish(end.status);
+  };
+}
+
+void Relay::write(const std::shared_ptr<grpc::ServerCall>& call, const std::string& decode) {
+  const auto second =
+      writers_[turn_ % writers_.size()]->start("/gannetcourse.v1.Engine/Decode", decode, call->timeout());
+  second->onMessage = [call](std::string_view message) {
+    v1::DecodeToken token;
+    token.ParseFromArray(message.data(), static_cast<int>(message.size()));
+    v1::GenerateToken out;
+    out.set_index(token.index());
+    out.set_text(token.text());
+    call->send(out.SerializeAsString());
+  };
+  second->onEnd = [call](const grpc::CallEnd& end) { call->finish(end.status); };
+  call->onCancelled = [second] { second->cancel(); };
+}
+
+}  // namespace gannetcourse::lab
--- /dev/null
+++ b/lab/relay.h
@@ -0,0 +1,30 @@
+// A baseline for measurements: a relay on the same net layer that passes chat on to engines in turn, without
+// any of the router's decisions, health, limits or second tries.
+#pragma once
+
+#include <memory>
+#include <vector>
+
+#include "grpc/channel.h"
+#include "grpc/server.h"
+
+namespace gannetcourse::lab {
+
+class Relay {
+ public:
+  Relay(net::Loop& loop, const std::vector<net::Endpoint>& readers,
+        const std::vector<net::Endpoint>& writers);
+  std::uint16_t port() const { return server_.port(); }
+
+ private:
+  using Channels = std::vector<std::unique_ptr<grpc::Channel>>;
+  void take(const std::shared_ptr<grpc::ServerCall>& call, std::string_view bytes);
+  void write(const std::shared_ptr<grpc::ServerCall>& call, const std::string& decode);
+
+  grpc::Server server_;
+  Channels readers_, writers_;
+  std::vector<net::Endpoint> readerAddresses_;
+  std::size_t turn_ = 0;
+};
+
+}  // namespace gannetcourse::lab
--- /dev/null
+++ b/tests/independent_test.cpp
@@ -0,0 +1,270 @@
+// The node's wire seen by clients that this project did not write: the gRPC C++ library.
+#include <grpcpp/grpcpp.h>
+#include <gtest/gtest.h>
+
+#include <atomic>
+#include <future>
+#include <thread>
+
+#include "day.h"
+#include "gannetcourse/v1/chat.grpc.pb.h"
+#include "gannetcourse/v1/health.grpc.pb.h"
+#include "nodes.h"
+#include "registry_stand_in.h"
+#include "stand_in.h"
+
+namespace {
+
+using gannetcourse::Duration;
+using gannetcourse::Role;
+namespace lab = gannetcourse::lab;
+namespace v1 = gannetcourse::v1;
+
+// A reader, a writer and a registry on a thread of their own, and a node in process.
+class World {
+ public:
+  World() {
+    std::promise<std::string> up;
+    auto address = up.get_future();
+    thread_ = std::thread([this, &up] { run(up); });
+    const std::string registry = address.get();
+    lab::Day day;
+    day.zones = {"north"};
+    day.classes.push_back({});
+    day.classes.back().name = "query";
+    day.answerMargin = 0.2;
+    node_ = lab::startInProcess("node-0", day.nodeSettings(0, registry), {});
+  }
+  ~World() {
+    node_->drain();
+    while (!node_->ended()) std::this_thread::yield();
+    stop_ = true;
+    thread_.join();
+  }
+  World(const World&) = delete;
+  World& operator=(const World&) = delete;
+
+  std::string target() const { return "127.0.0.1:" + std::to_string(node_->port()); }
+  std::atomic<double> tokenTime{0.002};
+  std::atomic<std::size_t> openCalls{0};
+
+ private:
+  void run(std::promise<std::string>& up) {
+    gannetcourse::net::Loop loop;
+    lab::AuditRules rules;
+    rules.classes.resize(1);
+    lab::Ledger ledger(rules);
+    std::mt19937_64 random(1);
+    lab::Fabric fabric{loop, ledger, random, {"north"}, 250000, 120000, 2,
+                       1,    {},     {1000}, {"query"}, 2.5,    2,      {}};
+    lab::EngineSpec reader, writer;
+    reader.id = 1;
+    reader.zone = writer.zone = "north";
+    writer.id = 2;
+    writer.role = Role::kDecode;
+    writer.tokenTime = 0.002;
+    lab::StandIn one(fabric, reader), two(fabric, writer);
+    lab::RegistryStandIn registry(fabric);
+    registry.set(one, v1::EngineEntry::SERVING);
+    registry.set(two, v1::EngineEntry::SERVING);
+    up.set_value(registry.address());
+    double last = fabric.now();
+    while (!stop_) {
+      loop.step(Duration(0.005));
+      const double now = fabric.now();
+      two.model().speed = 0.002 / tokenTime;
+      one.step(now, now - last);
+      two.step(now, now - last);
+      openCalls = one.openCalls() + two.openCalls();
+      last = now;
+    }
+  }
+
+  std::atomic<bool> stop_{false};
+  std::thread thread_;
+  std::unique_ptr<lab::NodeHost> node_;
+};
+
+class IndependentTest : public ::testing::Test {
+ protected:
+  void SetUp() override { connect({}); }
+
+  void connect(const grpc::ChannelArguments& arguments) {
+    channel = grpc::CreateCustomChannel(world.target(), grpc::InsecureChannelCredentials(), arguments);
+    chat = v1::Chat::NewStub(channel);
+  }
+
+  static v1::GenerateRequest request(std::uint64_t id, std::uint32_t output = 30) {
+    v1::GenerateRequest ask;
+    ask.set_request_class("query");
+    ask.set_prompt("#" + std::to_string(id) + " why?");
+    ask.set_prompt_tokens(200);
+    ask.set_max_output_tokens(output);
+    ask.set_seed(id);
+    return ask;
+  }
+
+  static void within(grpc::ClientContext& context, double seconds) {
+    context.set_deadline(std::chrono::system_clock::now() +
+                         std::chrono::milliseconds(static_cast<int>(seconds * 1000)));
+  }
+
+  // Reads a whole answer and checks its tokens.
+  grpc::Status whole(std::uint64_t id, grpc::ClientContext& context, std::uint32_t output = 30) {
+    auto stream = chat->Generate(&context, request(id, output));
+    v1::GenerateToken token;
+    std::uint32_t next = 0;
+    while (stream->Read(&token)) {
+      EXPECT_EQ(token.index(), next);
+      EXPECT_EQ(token.text(), lab::answerText(id, next));
+      ++next;
+    }
+    const grpc::Status status = stream->Finish();
+    if (status.ok()) {
+      EXPECT_EQ(next, lab::answerLength(id, output));
+    }
+    return status;
+  }
+
+  World world;
+  std::shared_ptr<grpc::Channel> channel;
+  std::unique_ptr<v1::Chat::Stub> chat;
+};
+
+TEST_F(IndependentTest, StreamsAWholeAnswer) {
+  grpc::ClientContext context;
+  within(context, 20);
+  context.AddMetadata("x-customer", "kelaniya");
+  context.AddMetadata("x-blob-bin", std::string("\0\1\2", 3));
+  const grpc::Status status = whole(16, context);
+  EXPECT_TRUE(status.ok()) << status.error_message();
+  const auto& trailers = context.GetServerTrailingMetadata();
+  const auto verdict = trailers.find("gannetcourse-verdict");
+  ASSERT_NE(verdict, trailers.end());
+  EXPECT_EQ(std::string(verdict->second.data(), verdict->second.size()), "served");
+}
+
+TEST_F(IndependentTest, AnswersUnaryCalls) {
+  const auto health = grpc::health::v1::Health::NewStub(channel);
+  grpc::health::v1::HealthCheckResponse response;
+  for (int i = 0; i < 200 && response.status() != grpc::health::v1::HealthCheckResponse::SERVING; ++i) {
+    grpc::ClientContext context;
+    ASSERT_TRUE(health->Check(&context, {}, &response).ok());
+    std::this_thread::sleep_for(std::chrono::milliseconds(20));
+  }
+  EXPECT_EQ(response.status(), grpc::health::v1::HealthCheckResponse::SERVING);
+  grpc::ClientContext context;
+  grpc::health::v1::HealthCheckRequest unknown;
+  unknown.set_service("nobody");
+  EXPECT_EQ(health->Check(&context, unknown, &response).error_code(), grpc::StatusCode::NOT_FOUND);
+}
+
+TEST_F(IndependentTest, ManyStreamsOnOneConnection) {
+  std::vector<std::thread> clients;
+  std::atomic<int> served{0};
+  for (std::uint64_t c = 0; c < 8; ++c) {
+    clients.emplace_back([&, c] {
+      for (std::uint64_t i = 0; i < 10; ++i) {
+        grpc::ClientContext context;
+        within(context, 30);
+        served += whole(16 * (1 + c * 100 + i), context).ok();
+      }
+    });
+  }
+  for (auto& client : clients) client.join();
+  EXPECT_EQ(served, 80);
+}
+
+TEST_F(IndependentTest, ACancelReachesTheEngine) {
+  world.tokenTime = 0.2;
+  grpc::ClientContext context;
+  within(context, 60);
+  auto stream = chat->Generate(&context, request(16));
+  v1::GenerateToken token;
+  ASSERT_TRUE(stream->Read(&token));
+  EXPECT_EQ(world.openCalls, 1u);
+  context.TryCancel();
+  while (stream->Read(&token)) {
+  }
+  EXPECT_EQ(stream->Finish().error_code(), grpc::StatusCode::CANCELLED);
+  for (int i = 0; i < 500 && world.openCalls > 0; ++i)
+    std::this_thread::sleep_for(std::chrono::milliseconds(20));
+  EXPECT_EQ(world.openCalls, 0u);
+}
+
+TEST_F(IndependentTest, TheDeadlineIsKeptByTheNode) {
+  world.tokenTime = 1;
+  grpc::ClientContext context;
+  within(context, 3);
+  auto stream = chat->Generate(&context, request(16));
+  v1::GenerateToken token;
+  while (stream->Read(&token)) {
+  }
+  EXPECT_EQ(stream->Finish().error_code(), grpc::StatusCode::DEADLINE_EXCEEDED);
+}
+
+TEST_F(IndependentTest, FaultsOfTheCallerHaveTheirStatus) {
+  const auto statusOf = [&](const v1::GenerateRequest& ask, bool deadline = true) {
+    grpc::ClientContext context;
+    if (deadline) within(context, 10);
+    auto stream = chat->Generate(&context, ask);
+    v1::GenerateToken token;
+    while (stream->Read(&token)) {
+    }
+    return stream->Finish();
+  };
+  v1::GenerateRequest ask = request(16);
+  ask.set_request_class("caf\xc3\xa9");
+  const grpc::Status unknown = statusOf(ask);
+  EXPECT_EQ(unknown.error_code(), grpc::StatusCode::INVALID_ARGUMENT);
+  EXPECT_EQ(unknown.error_message(), "request_class: 'caf\xc3\xa9' is not a class of this node")
+      << "percent-encoded";
+  EXPECT_EQ(statusOf(request(16), false).error_code(), grpc::StatusCode::INVALID_ARGUMENT);
+  ask = request(16);
+  ask.set_prompt(std::string(5 << 20, 'x'));
+  EXPECT_EQ(statusOf(ask).error_code(), grpc::StatusCode::RESOURCE_EXHAUSTED);
+}
+
+TEST_F(IndependentTest, ALargeMessageGoesThrough) {
+  grpc::ClientContext context;
+  within(context, 30);
+  v1::GenerateRequest ask = request(16);
+  ask.set_prompt("#16 " + std::string(3 << 20, 'x'));
+  auto stream = chat->Generate(&context, ask);
+  v1::GenerateToken token;
+  std::uint32_t tokens = 0;
+  while (stream->Read(&token)) ++tokens;
+  const grpc::Status status = stream->Finish();
+  EXPECT_TRUE(status.ok()) << status.error_message();
+  EXPECT_EQ(tokens, lab::answerLength(16, 30));
+}
+
+TEST_F(IndependentTest, UnknownMethodsAndCompressionAreUnimplemented) {
+  const auto stub = v1::Chat::NewStub(channel);
+  grpc::ClientContext context;
+  within(context, 10);
+  context.set_compression_algorithm(GRPC_COMPRESS_GZIP);
+  v1::GenerateRequest ask = request(16);
+  ask.set_prompt("#16 " + std::string(100000, 'x'));
+  auto stream = stub->Generate(&context, ask);
+  v1::GenerateToken token;
+  while (stream->Read(&token)) {
+  }
+  EXPECT_EQ(stream->Finish().error_code(), grpc::StatusCode::UNIMPLEMENTED);
+}
+
+TEST_F(IndependentTest, KeepalivePingsAreAnswered) {
+  grpc::ChannelArguments arguments;
+  arguments.SetInt(GRPC_ARG_KEEPALIVE_TIME_MS, 1000);
+  arguments.SetInt(GRPC_ARG_KEEPALIVE_TIMEOUT_MS, 10000);
+  arguments.SetInt(GRPC_ARG_KEEPALIVE_PERMIT_WITHOUT_CALLS, 1);
+  arguments.SetInt(GRPC_ARG_HTTP2_MAX_PINGS_WITHOUT_DATA, 0);
+  connect(arguments);
+  world.tokenTime = 0.15;
+  grpc::ClientContext context;
+  within(context, 60);
+  const grpc::Status status = whole(16, context, 20);
+  EXPECT_TRUE(status.ok()) << status.error_message();
+}
+
+}  // namespace
