--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -10,3 +10,8 @@
 cmake --build --preset ci
 bash scripts/lint.sh build-ci
 ctest --preset ci
+# Threads: nodes on threads of one process, and the daemon with its log's thread.
+cmake --preset tsan
+cmake --build --preset tsan
+build-tsan/gannetcourse-lab day lab/days/calm.xml --in-process --quiet
+build-tsan/gannetcourse-lab day lab/days/calm.xml --quiet
