--- a/lab/engine_model.cpp
+++ b/lab/engine_model.cpp
@@ -6,8 +6,6 @@
 namespace gannetcourse::lab {
 namespace {
 
-constexpr double kReadOverhead = 150;  // a read's fixed cost, as tokens
-
 std::uint64_t mix(std::uint64_t x) {
   x = (x ^ (x >> 30)) * 0xbf58476d1ce4e5b9ULL;
   x = (x ^ (x >> 27)) * 0x94d049bb133111ebULL;
--- a/lab/engine_model.h
+++ b/lab/engine_model.h
@@ -18,6 +18,8 @@
 
 namespace gannetcourse::lab {
 
+constexpr double kReadOverhead = 150;  // a read's fixed cost, as tokens
+
 struct EngineSpec {
   std::uint32_t id = 0;
   Role role = Role::kPrefill;
--- a/lab/play.cpp
+++ b/lab/play.cpp
@@ -49,16 +49,21 @@
         progress_(progress),
         ledger_(day.auditRules()),
         random_(day.seed),
-        fabric_{loop_, ledger_, random_, day.zones, day.nearRate,       day.farRate, day.zoneFactor,
-                1,     {},      {},      {},        day.overloadFactor, day.window,  {}},
+        fabric_{loop_,          ledger_, random_, day.zones, day.nearRate, day.farRate,
+                day.zoneFactor, 1,       {},      {},        {},           day.overloadFactor,
+                day.window,     {},      600},
         registry_(fabric_),
         clients_(fabric_, day_, day.seed * 7919 + 17),
         troubles_(fabric_, day_, engines_, registry_, clients_),
         folder_(options.keepFolder) {
+    double shares = 0, fresh = 0;
     for (const DayClass& c : day_.classes) {
+      shares += c.share;
+      fresh += c.share * (c.promptTokens + kReadOverhead);
       fabric_.classes.push_back(c.name);
       fabric_.meanPrompt.push_back(c.promptTokens * (c.turns + 1) / 2 + c.sharedTokens * c.sharedShare);
     }
+    if (shares > 0) fabric_.meanFresh = fresh / shares;
   }
 
   PlayResult run() {
--- a/lab/stand_in.cpp
+++ b/lab/stand_in.cpp
@@ -132,8 +132,8 @@
   const double share = model_.capacityShare(now);
   if (share < 1) {
     const EngineSpec& s = model_.spec();
-    const double warm =
-        s.role == Role::kPrefill ? s.tokensPerSecond / mean : s.slots / (s.tokenTime * 40 * (1 + s.crowding));
+    const double warm = s.role == Role::kPrefill ? s.tokensPerSecond / fabric_.meanFresh
+                                                 : s.slots / (s.tokenTime * 40 * (1 + s.crowding));
     if (fabric_.ledger.coldLoad(s.id, named.node, std::max(1.0, named.promptTokens / mean), warm * share,
                                 now)) {
       fabric_.loop.defer([this, alive = alive_] {
--- a/lab/stand_in.h
+++ b/lab/stand_in.h
@@ -33,6 +33,7 @@
   std::vector<std::string> classes;
   double coldFactor = 2.5, coldWindow = 2;
   std::unordered_map<std::string, StandIn*> byAddress;
+  double meanFresh = 600;  // tokens that a warm reader has to read for a request, its overhead included
 
   double now() const { return net::monotonicNow().time_since_epoch().count(); }
   std::uint32_t zoneIndex(const std::string& zone) const;
--- a/src/grpc/channel.cpp
+++ b/src/grpc/channel.cpp
@@ -155,7 +155,7 @@
   end(endOf(CallEnd::How::kCancelled, Code::kCancelled, "called off"));
 }
 
-void ClientCall::end(CallEnd end) {
+void ClientCall::end(const CallEnd& end) {
   if (std::exchange(over_, true)) return;
   const auto self = shared_from_this();
   if (!delivering_) onMessage = nullptr;  // else it may be running
--- a/src/grpc/channel.h
+++ b/src/grpc/channel.h
@@ -66,7 +66,7 @@
   friend struct Link;
   void take(std::span<const std::uint8_t> bytes);
   void deliver();
-  void end(CallEnd end);
+  void end(const CallEnd& end);
 
   Link* link_ = nullptr;  // the connection that it is on
   http2::StreamId stream_ = 0;
--- a/src/http2/session.cpp
+++ b/src/http2/session.cpp
@@ -3,7 +3,6 @@
 #include <nghttp2/nghttp2.h>
 
 #include <algorithm>
-#include <cstring>
 #include <new>
 #include <utility>
 
@@ -126,7 +125,7 @@
     Stream* stream = self.find(id);
     if (stream == nullptr) return NGHTTP2_ERR_TEMPORAL_CALLBACK_FAILURE;
     const std::size_t size = std::min(most, stream->out.size() - stream->outAt);
-    std::memcpy(into, stream->out.data() + stream->outAt, size);
+    std::copy_n(stream->out.data() + stream->outAt, size, into);
     stream->outAt += size;
     const bool empty = stream->outAt == stream->out.size();
     if (empty) {
@@ -386,6 +385,7 @@
 void Session::endAll(const std::string& reason) {
   const auto open = std::exchange(streams_, {});
   std::vector<StreamId> ids;
+  ids.reserve(open.size());
   for (const auto& [id, stream] : open) ids.push_back(id);
   std::sort(ids.begin(), ids.end());
   for (const StreamId id : ids) owner_.onStreamClosed(id, kInternalError);
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -47,6 +47,8 @@
 struct Overloaded : Fs... {
   using Fs::operator()...;
 };
+template <class... Fs>
+Overloaded(Fs...) -> Overloaded<Fs...>;
 
 }  // namespace
 
--- a/tests/independent_test.cpp
+++ b/tests/independent_test.cpp
@@ -55,8 +55,8 @@
     rules.classes.resize(1);
     lab::Ledger ledger(rules);
     std::mt19937_64 random(1);
-    lab::Fabric fabric{loop, ledger, random, {"north"}, 250000, 120000, 2,
-                       1,    {},     {1000}, {"query"}, 2.5,    2,      {}};
+    lab::Fabric fabric{loop, ledger, random,    {"north"}, 250000, 120000, 2,  1,
+                       {},   {1000}, {"query"}, 2.5,       2,      {},     600};
     lab::EngineSpec reader, writer;
     reader.id = 1;
     reader.zone = writer.zone = "north";
