--- a/lab/stand_in.cpp
+++ b/lab/stand_in.cpp
@@ -355,7 +355,7 @@
   server_.refuse(true);
   server_.abortAll();
   while (!open_.empty()) closed(open_.begin()->first);
-  while (!states_.empty()) dropState(states_.begin()->first);
+  while (!states_.empty()) dropState(std::string(states_.begin()->first));  // a copy: its entry goes
   model_.restart(std::nullopt);
 }
 
