A client that leaves while its continuation waits is told to the policy by its right name

Cause: a continued request has a new name towards the policy; on a client's leaving, and at the deadline backstop, the core still told the first one. The policy kept such a request and later sent for it; the core's guard held that back, so no rule broke, but the request stayed in the policy's queue and counted as guarded.

Change: both places use the present name. A test lets a client leave while its continuation waits for a reader.

--- a/src/router/core.cpp
+++ b/src/router/core.cpp
@@ -96,7 +96,7 @@
     r.answered = true;
     touch(r);
     record(r, "client_gone");
-    const RequestId id{r.id};
+    const RequestId id{r.policyId};
     const std::optional<AttemptEnded> ended = endCall(r, Outcome::kCancelled, "client gone");
     if (ended) feed(*ended);
     feed(ClientGone{id});
@@ -415,7 +415,7 @@
     Request& r = it->second;
     if (!r.started && !r.waits) ++counts_.guarded;
     if (r.started) return endStream(r, Outcome::kCancelled, "time is up");
-    const RequestId id{r.id};
+    const RequestId id{r.policyId};
     answer(r, Verdict::kDeadline, Duration(0), "time is up");
     const auto ended = endCall(r, Outcome::kTimeout, "time is up");
     if (ended) feed(*ended);
--- a/tests/core_test.cpp
+++ b/tests/core_test.cpp
@@ -148,6 +148,18 @@
   EXPECT_EQ(core.owed(), 0u);
 }
 
+TEST_F(CoreTest, ThePolicyHearsOfAClientThatLeavesWhileAContinuationWaits) {
+  const CallKey call = stream(1, 7);
+  core.serverList(at(1.3), ServerList{ServerList::Scope::kFull, {test::server(2, Role::kDecode)}});
+  core.callEnded(at(1.4), call, Outcome::kReset, 0, {}, "connection lost");
+  EXPECT_TRUE(of<StartRead>(take()).empty()) << "no reader is there: it waits with the policy";
+  core.clientGone(at(1.45), 7);
+  core.serverList(at(1.5), ServerList{ServerList::Scope::kFull,
+                                      {test::server(1, Role::kPrefill), test::server(2, Role::kDecode)}});
+  runTo(8);
+  EXPECT_EQ(core.counts().guarded, 0u) << "the policy sends nothing for a request that is over";
+}
+
 TEST_F(CoreTest, ABrokenStreamFailsItsRequestOnce) {
   recovery::Limits off;
   off.enabled = false;
