Recovery and health keep nothing that grows: one last sign of life, expired watches dropped

Cause: read again, Recovery kept every writer that it had ever heard, though only the newest time was used, and each health watch that had ended stayed listed until the node's state changed.

Change: one time instead of the map, and started() no longer takes a writer; a new watch drops the expired ones; an unused struct is gone. Behaviour and expectations are as before.

--- a/include/gannetcourse/recovery.h
+++ b/include/gannetcourse/recovery.h
@@ -52,15 +52,14 @@
   explicit Recovery(Limits limits);
 
   // ---- Streams that run ----
-  void started(Instant now, StreamKey stream, std::size_t classIndex, ServerId writer);
+  void started(Instant now, StreamKey stream, std::size_t classIndex);
   // A token came. False once what is kept has passed its limit: the stream cannot be continued any more.
   bool token(Instant now, StreamKey stream, std::size_t bytes);
   void paused(Instant now, StreamKey stream, bool paused);  // its client takes nothing: silence means nothing
   void ended(StreamKey stream);                             // it is over, or lost
 
-  // Streams that are silent for too long, against their class's pace, while streams of other writers go on. A
-  // writer of which no stream moves counts as one that pauses or hangs; where all writers stand still nobody
-  // is moved.
+  // Streams that are silent for too long, against their class's pace, while other streams go on; where all
+  // stand still nobody is moved.
   std::vector<StreamKey> silent(Instant now);
 
   // ---- Streams that are lost ----
@@ -80,7 +79,6 @@
  private:
   struct Running {
     std::size_t classIndex = 0;
-    ServerId writer;
     Instant lastToken;
     std::uint64_t kept = 0;
     std::uint64_t tokens = 0;
@@ -98,7 +96,7 @@
   std::map<StreamKey, Running> running_;
   std::map<StreamKey, Waiting> waiting_;
   std::map<std::size_t, Duration> paces_;  // by class: the usual time between tokens
-  std::map<ServerId, Instant> heard_;      // when a writer's streams last brought a token
+  Instant heard_{};                        // when any stream last brought a token
   double budget_;
   std::uint64_t keptBytes_ = 0;
   Instant lastLook_{};
--- a/src/fronts/health.cpp
+++ b/src/fronts/health.cpp
@@ -39,6 +39,7 @@
                     return call->send(response.SerializeAsString());
                   }
                   call->send(message(router_.serving()));
+                  std::erase_if(watches_, [](const auto& watch) { return watch.expired(); });
                   watches_.push_back(call);
                 });
 }
--- a/src/fronts/health.h
+++ b/src/fronts/health.h
@@ -16,10 +16,6 @@
   void end();      // ends the watches: the node goes down
 
  private:
-  struct Watch {
-    std::shared_ptr<grpc::ServerCall> call;
-    bool told = false;
-  };
   RouterSide& router_;
   std::vector<std::weak_ptr<grpc::ServerCall>> watches_;
   bool last_ = false;
--- a/src/recovery/recovery.cpp
+++ b/src/recovery/recovery.cpp
@@ -15,13 +15,12 @@
 Recovery::Recovery(Limits limits) : limits_(std::move(limits)), budget_(limits_.rebuildBurst) {}
 
 // ---- Streams that run ----
-void Recovery::started(Instant now, StreamKey stream, std::size_t classIndex, ServerId writer) {
+void Recovery::started(Instant now, StreamKey stream, std::size_t classIndex) {
   Running& r = running_[stream];  // a continuation keeps what it has
   r.classIndex = classIndex;
-  r.writer = writer;
   r.lastToken = now;
   r.lost = false;
-  heard_[writer] = now;
+  heard_ = now;
 }
 
 bool Recovery::token(Instant now, StreamKey stream, std::size_t bytes) {
@@ -37,7 +36,7 @@
   }
   ++r.tokens;
   r.lastToken = now;
-  heard_[r.writer] = now;
+  heard_ = now;
   if (!r.resumable) return false;
   r.kept += bytes;
   keptBytes_ += bytes;
@@ -70,13 +69,10 @@
   lastLook_ = now;
   std::vector<StreamKey> found;
   if (!limits_.enabled) return found;
-  // The newest sign of life of any writer: where there is none, the node or the net stands still, not a
-  // writer.
-  Instant anyone{};
-  for (const auto& [writer, at] : heard_) anyone = std::max(anyone, at);
+  // Where no stream shows a sign of life, the node or the net stands still, not a writer.
   for (const auto& [key, r] : running_) {
     const Duration patience = std::max(limits_.silenceAtLeast, pace(r.classIndex) * limits_.silenceFactor);
-    const bool others = anyone > r.lastToken + patience / 2;
+    const bool others = heard_ > r.lastToken + patience / 2;
     if (!r.paused && !r.lost && r.tokens > 0 && others && now - r.lastToken > patience) found.push_back(key);
   }
   return found;
--- a/src/router/core.cpp
+++ b/src/router/core.cpp
@@ -129,7 +129,7 @@
       r.seatAt.reset();
       record(r, "started", call.engine, call.attempt);
     }
-    if (first) recovery_.started(now_, r.key, r.asked.classIndex, call.engine);
+    if (first) recovery_.started(now_, r.key, r.asked.classIndex);
     keepText(r, text);
     out_.emplace_back(Deliver{r.key, index, std::move(text)});
     if (first)
--- a/tests/recovery_test.cpp
+++ b/tests/recovery_test.cpp
@@ -25,21 +25,21 @@
 class RecoveryTest : public ::testing::Test {
  protected:
   // Streams that bring a token every 50 ms until `end`.
-  void run(StreamKey key, std::uint32_t writer, double from, double end, std::size_t classIndex = 0) {
-    recovery.started(at(from), key, classIndex, ServerId{writer});
+  void run(StreamKey key, double from, double end, std::size_t classIndex = 0) {
+    recovery.started(at(from), key, classIndex);
     for (double t = from; t < end; t += 0.05) recovery.token(at(t), key, 6);
   }
   Recovery recovery{limits()};
 };
 
 TEST_F(RecoveryTest, ASafeStreamGoesOn) {
-  run(1, 1, 0, 1);
+  run(1, 0, 1);
   EXPECT_EQ(recovery.lost(at(1), lost(1)).verdict, Verdict::kGoOn);
 }
 
 TEST_F(RecoveryTest, AStreamWithAnEffectNeverGoesOn) {
-  run(1, 1, 0, 1, 1);
-  run(2, 1, 0, 1, 2);
+  run(1, 0, 1, 1);
+  run(2, 0, 1, 2);
   for (const StreamKey key : {1, 2}) {
     const Decision d = recovery.lost(at(1), lost(key, key));
     EXPECT_EQ(d.verdict, Verdict::kGiveUp);
@@ -48,7 +48,7 @@
 }
 
 TEST_F(RecoveryTest, GivesUpWhereNothingCanBeGained) {
-  run(1, 1, 0, 1);
+  run(1, 0, 1);
   Lost late = lost(1);
   late.timeLeft = Duration(0.3);
   EXPECT_EQ(recovery.lost(at(1), late).why, "no time left");
@@ -66,8 +66,8 @@
   l.keptPerStream = 100;
   l.keptPerNode = 150;
   Recovery small(l);
-  small.started(at(0), 1, 0, ServerId{1});
-  small.started(at(0), 2, 0, ServerId{1});
+  small.started(at(0), 1, 0);
+  small.started(at(0), 2, 0);
   EXPECT_TRUE(small.token(at(0), 1, 90));
   EXPECT_FALSE(small.token(at(0), 2, 70)) << "over the node's";
   EXPECT_EQ(small.keptBytes(), 90u);
@@ -78,31 +78,31 @@
 }
 
 TEST_F(RecoveryTest, ASilentStreamIsFoundAndAPauseIsNot) {
-  run(1, 1, 0, 1);
-  run(2, 2, 0, 4);
+  run(1, 0, 1);
+  run(2, 0, 4);
   EXPECT_TRUE(recovery.silent(at(2.2)).empty()) << "a pause of 1.2 s";
   EXPECT_EQ(recovery.silent(at(4)), std::vector<StreamKey>{1});
 }
 
 TEST_F(RecoveryTest, WhereAllWritersStandStillNobodyIsMoved) {
-  run(1, 1, 0, 1);
-  run(2, 2, 0, 1);
+  run(1, 0, 1);
+  run(2, 0, 1);
   EXPECT_TRUE(recovery.silent(at(9)).empty());
 }
 
 TEST_F(RecoveryTest, AClientThatTakesNothingIsNoSilence) {
-  run(1, 1, 0, 1);
+  run(1, 0, 1);
   recovery.paused(at(1), 1, true);
-  run(2, 2, 0, 5);
+  run(2, 0, 5);
   EXPECT_TRUE(recovery.silent(at(5)).empty());
   recovery.paused(at(5), 1, false);
-  run(3, 2, 5, 8);
+  run(3, 5, 8);
   EXPECT_TRUE(recovery.silent(at(5.5)).empty()) << "what was held back comes first";
   EXPECT_EQ(recovery.silent(at(8)), (std::vector<StreamKey>{1, 2}));
 }
 
 TEST_F(RecoveryTest, AThirdOfTheWritersGoneIsNoStorm) {
-  for (StreamKey key = 1; key <= 30; ++key) run(key, 1, 0, 1);
+  for (StreamKey key = 1; key <= 30; ++key) run(key, 0, 1);
   int goOn = 0;
   for (StreamKey key = 1; key <= 30; ++key) goOn += recovery.lost(at(1), lost(key)).verdict == Verdict::kGoOn;
   EXPECT_EQ(goOn, 3) << "the burst";
@@ -115,7 +115,7 @@
 }
 
 TEST_F(RecoveryTest, WorthGoesFirst) {
-  for (StreamKey key = 1; key <= 6; ++key) run(key, 1, 0, 1, key == 6 ? 3 : 0);
+  for (StreamKey key = 1; key <= 6; ++key) run(key, 0, 1, key == 6 ? 3 : 0);
   for (StreamKey key = 1; key <= 6; ++key) recovery.lost(at(1), lost(key, key == 6 ? 3 : 0));
   recovery.readTokens(at(1.2), 2000);
   EXPECT_EQ(recovery.turns(at(1.2)).goOn, std::vector<StreamKey>{6});
@@ -125,7 +125,7 @@
   Limits l = limits();
   l.enabled = false;
   Recovery off(l);
-  off.started(at(0), 1, 0, ServerId{1});
+  off.started(at(0), 1, 0);
   off.token(at(0), 1, 5);
   EXPECT_EQ(off.lost(at(1), lost(1)).why, "recovery is off");
   EXPECT_TRUE(off.silent(at(9)).empty());
