Frames leave in one system call, ended calls leave no timers, the log ends its thread first

Each HTTP/2 frame was a send() of its own; every call left its time-out in the core's timers until it fired; each token made a new command vector.

A pump gathers frames and flushes once; timers end with their call; commands, paces and a token's bytes reuse what they have. The log's pool is joined before its logger goes.

--- a/include/gannetcourse/recovery.h
+++ b/include/gannetcourse/recovery.h
@@ -139,13 +139,14 @@
   bool someoneWaitsForATurn(Instant now) const;
   void notePace(Instant now, Running& r);
   double worth(std::size_t classIndex) const;
+  Duration& paceOf(std::size_t classIndex);
   Duration pace(std::size_t classIndex) const;
 
   Limits limits_;
   std::unordered_map<StreamKey, Running> running_;
   std::map<StreamKey, Waiting> waiting_;
-  std::map<std::size_t, Duration> paces_;  // by class: the usual time between tokens
-  Instant heard_{};                        // when any stream last brought a token
+  std::vector<Duration> paces_;  // by class: the usual time between tokens
+  Instant heard_{};              // when any stream last brought a token
   double budget_;
   std::uint64_t keptBytes_ = 0;
   std::map<ServerId, Instant> leaving_;
--- a/include/gannetcourse/router.h
+++ b/include/gannetcourse/router.h
@@ -176,6 +176,8 @@
   std::optional<Instant> nextWake() const;
   // Commands since the last call.
   std::vector<Command> take();
+  // The same into a vector that is used again and again; false where there are none.
+  bool takeInto(std::vector<Command>& commands);
 
   bool draining() const;
   std::size_t open() const;                    // requests without their final answer
--- a/src/daemon/log.cpp
+++ b/src/daemon/log.cpp
@@ -38,7 +38,10 @@
     logger_->set_level(spdlog::level::trace);
     logger_->flush_on(spdlog::level::warn);
   }
-  ~Impl() { logger_->flush(); }
+  ~Impl() {
+    logger_->flush();
+    pool_.reset();  // writes what is queued and ends its thread, before the logger goes
+  }
 
   void setLevels(const std::string& level, const std::map<std::string, std::string>& packages) {
     level_ = spdlog::level::from_str(level);
--- a/src/fronts/chat.cpp
+++ b/src/fronts/chat.cpp
@@ -40,8 +40,9 @@
     message.set_index(token.index);
     message.set_text(token.text);
     if (!resume_.empty()) message.set_resume(std::exchange(resume_, {}));
-    call_->send(message.SerializeAsString());
-    if (!paused_ && call_->pending() >= router_.settings().streamBuffer) {
+    message.SerializeToString(&bytes_);
+    const std::size_t waiting = call_->send(bytes_);
+    if (!paused_ && waiting >= router_.settings().streamBuffer) {
       paused_ = true;
       router_.pause(key_, true);
     }
@@ -73,6 +74,7 @@
   std::shared_ptr<grpc::ServerCall> call_;
   router::RequestKey key_;
   v1::ResumePoint point_;  // what its resume tokens say of it
+  std::string bytes_;      // of the token at hand
   std::string resume_;     // goes out with the next token
   bool paused_ = false;
 };
--- a/src/fronts/health.cpp
+++ b/src/fronts/health.cpp
@@ -36,7 +36,8 @@
                   ask.ParseFromArray(bytes.data(), static_cast<int>(bytes.size()));
                   if (!known(ask.service())) {  // as the protocol has it, the call stays open
                     response.set_status(HealthCheckResponse::SERVICE_UNKNOWN);
-                    return call->send(response.SerializeAsString());
+                    call->send(response.SerializeAsString());
+                    return;
                   }
                   call->send(message(router_.serving()));
                   std::erase_if(watches_, [](const auto& watch) { return watch.expired(); });
--- a/src/grpc/protocol.cpp
+++ b/src/grpc/protocol.cpp
@@ -13,8 +13,6 @@
     "ABORTED",   "OUT_OF_RANGE",   "UNIMPLEMENTED",     "INTERNAL",           "UNAVAILABLE",
     "DATA_LOSS", "UNAUTHENTICATED"};
 
-constexpr std::size_t kPrefix = 5;
-
 int hexDigit(char c) {
   if (c >= '0' && c <= '9') return c - '0';
   if (c >= 'a' && c <= 'f') return c - 'a' + 10;
@@ -90,10 +88,15 @@
   return "99999999H";
 }
 
+Prefix prefixOf(std::size_t size) {
+  Prefix prefix{};
+  for (std::size_t i = 0; i < 4; ++i) prefix[1 + i] = static_cast<char>(size >> (24 - 8 * i));
+  return prefix;
+}
+
 std::string frame(std::string_view message) {
-  std::string framed(kPrefix, '\0');
-  for (std::size_t i = 0; i < 4; ++i) framed[1 + i] = static_cast<char>(message.size() >> (24 - 8 * i));
-  return framed.append(message);
+  const Prefix prefix = prefixOf(message.size());
+  return std::string(prefix.data(), prefix.size()).append(message);
 }
 
 std::optional<std::string_view> MessageReader::next() {
--- a/src/grpc/protocol.h
+++ b/src/grpc/protocol.h
@@ -2,6 +2,7 @@
 // Source: the gRPC project's public documents "gRPC over HTTP2" and "Status codes and their use in gRPC".
 #pragma once
 
+#include <array>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -50,7 +51,11 @@
 // Rounds down, so that a called party never has longer than the caller.
 std::string formatTimeout(Duration timeout);
 
-// A message with its 5-byte prefix: no compression, big-endian length.
+// What stands before a message: no compression, and its length, big-endian.
+inline constexpr std::size_t kPrefix = 5;
+using Prefix = std::array<char, kPrefix>;
+Prefix prefixOf(std::size_t size);
+// A message with its prefix.
 std::string frame(std::string_view message);
 
 // Cuts a byte stream into messages.
--- a/src/grpc/server.cpp
+++ b/src/grpc/server.cpp
@@ -50,10 +50,11 @@
   return connection_ != nullptr && connection_->session_.connection().frozen();
 }
 
-void ServerCall::send(std::string_view message) {
-  if (!open()) return;
+std::size_t ServerCall::send(std::string_view message) {
+  if (!open()) return 0;
   if (!std::exchange(headersSent_, true)) connection_->session_.respond(stream_, kAnswerHeaders);
-  connection_->session_.send(stream_, frame(message));
+  const Prefix prefix = prefixOf(message.size());
+  return connection_->session_.send(stream_, {prefix.data(), prefix.size()}, message);
 }
 
 void ServerCall::finish(const Status& status, const http2::Headers& trailers) {
--- a/src/grpc/server.h
+++ b/src/grpc/server.h
@@ -39,7 +39,8 @@
   bool silenced() const;  // by Server::freeze(): what is sent waits here
   bool open() const { return connection_ != nullptr && !finished_; }
 
-  void send(std::string_view message);
+  // The bytes that its client has still to take, this message's included.
+  std::size_t send(std::string_view message);
   void finish(const Status& status, const http2::Headers& trailers = {});
   void reset(std::uint32_t http2Code);  // ends it without a status
   void abandon();                       // drops what the caller does not take, also after finish()
--- a/src/http2/session.cpp
+++ b/src/http2/session.cpp
@@ -104,6 +104,7 @@
 
   static int streamClosed(nghttp2_session*, std::int32_t id, std::uint32_t code, void* user) {
     Session& self = of(user);
+    if (id == self.lastId_) self.lastId_ = -1;
     if (self.streams_.erase(id) == 0) return 0;
     if (code == NGHTTP2_NO_ERROR) self.endedWell_[self.endedAt_++ % self.endedWell_.size()] = id;
     self.owner_.onStreamClosed(id, code);
@@ -230,10 +231,13 @@
     if (over_) return;
     if (size < 0) return fail(std::string("HTTP/2: ") + nghttp2_strerror(static_cast<int>(size)));
     if (size == 0) break;
-    connection_.write({bytes, static_cast<std::size_t>(size)});
+    // Many frames go out in one call of the system.
+    connection_.append({bytes, static_cast<std::size_t>(size)});
+    if (!connection_.wantsOutput()) connection_.flush();
     if (over_) return;
   }
-  finishIfIdle();
+  connection_.flush();
+  if (!over_) finishIfIdle();
 }
 
 void Session::finishIfIdle() {
@@ -252,8 +256,11 @@
 }
 
 Session::Stream* Session::find(StreamId id) {
+  if (id == lastId_) return last_;  // tokens come in runs
   const auto it = streams_.find(id);
-  return it == streams_.end() ? nullptr : &it->second;
+  if (it == streams_.end()) return nullptr;
+  lastId_ = id;
+  return last_ = &it->second;
 }
 
 bool Session::takesStreams() const {
@@ -300,11 +307,12 @@
   schedulePump();
 }
 
-void Session::send(StreamId id, std::string_view bytes) {
+std::size_t Session::send(StreamId id, std::string_view head, std::string_view bytes) {
   Stream* stream = open() ? find(id) : nullptr;
-  if (stream == nullptr || stream->ended) return;
-  stream->out.append(bytes);
+  if (stream == nullptr || stream->ended) return 0;
+  stream->out.append(head).append(bytes);
   resume(id, *stream);
+  return stream->out.size() - stream->outAt;
 }
 
 void Session::finish(StreamId id, const Headers& trailers) {
@@ -338,7 +346,8 @@
 
 void Session::sendRaw(std::string_view bytes) {
   pump();
-  connection_.write({reinterpret_cast<const std::uint8_t*>(bytes.data()), bytes.size()});
+  connection_.append({reinterpret_cast<const std::uint8_t*>(bytes.data()), bytes.size()});
+  connection_.flush();
 }
 
 void Session::ping() {
@@ -373,7 +382,6 @@
 void Session::fail(const std::string& reason) {
   if (over_) return;
   over_ = true;
-  connection_.closeAfterFlush();
   connection_.close();
   endAll(reason);
 }
@@ -385,6 +393,7 @@
 }
 
 void Session::endAll(const std::string& reason) {
+  lastId_ = -1;
   const auto open = std::exchange(streams_, {});
   std::vector<StreamId> ids;
   ids.reserve(open.size());
--- a/src/http2/session.h
+++ b/src/http2/session.h
@@ -78,7 +78,8 @@
   StreamId request(const Headers& headers, std::string_view body);
   void respond(StreamId stream, const Headers& headers);
   void respondOnly(StreamId stream, const Headers& headers);  // headers that end the stream
-  void send(StreamId stream, std::string_view bytes);
+  // Two parts of one text; the bytes of body that are pending then, 0 where the stream takes none.
+  std::size_t send(StreamId stream, std::string_view head, std::string_view bytes);
   void finish(StreamId stream, const Headers& trailers);
   // What the peer still sends on the stream is not wanted: it is reset, without an error, once our end is
   // out.
@@ -138,6 +139,8 @@
   nghttp2_session* session_ = nullptr;
   std::unordered_map<StreamId, Stream> streams_;
   std::array<StreamId, 32> endedWell_{};  // the last ones; nothing more may come for them
+  StreamId lastId_ = -1;                  // of the stream that was found last; -1 = none
+  Stream* last_ = nullptr;
   std::size_t endedAt_ = 0;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
   bool inside_ = false;  // in a call of nghttp2, which must not be entered again
--- a/src/net/connection.cpp
+++ b/src/net/connection.cpp
@@ -123,13 +123,12 @@
   reading_ = false;
 }
 
-void Connection::write(std::span<const std::uint8_t> bytes) {
-  if (fd_ < 0 || closing_) return;
-  out_.append(reinterpret_cast<const char*>(bytes.data()), bytes.size());
-  if (!connecting_ && !frozen_) flush();
+void Connection::append(std::span<const std::uint8_t> bytes) {
+  if (fd_ >= 0) out_.append(reinterpret_cast<const char*>(bytes.data()), bytes.size());
 }
 
 void Connection::flush() {
+  if (!connected() || frozen_) return;
   while (fd_ >= 0 && pending() > 0) {
     const auto sent = send(fd_, out_.data() + outAt_, pending(), MSG_NOSIGNAL);
     if (sent >= 0) {
@@ -142,18 +141,12 @@
   if (pending() == 0) {
     out_.clear();
     outAt_ = 0;
-    if (closing_) close();
   } else if (outAt_ > kWatermark) {
     out_.erase(0, outAt_);
     outAt_ = 0;
   }
 }
 
-void Connection::closeAfterFlush() {
-  closing_ = true;
-  if (pending() == 0) close();
-}
-
 void Connection::close() { dropSocket(); }
 
 void Connection::abort() {
--- a/src/net/connection.h
+++ b/src/net/connection.h
@@ -51,13 +51,13 @@
 
   bool open() const { return fd_ >= 0; }
   bool connected() const { return fd_ >= 0 && !connecting_; }
-  bool wantsOutput() const { return connected() && !closing_ && pending() < kWatermark; }
+  bool wantsOutput() const { return connected() && pending() < kWatermark; }
   std::size_t pending() const { return out_.size() - outAt_; }
-  void write(std::span<const std::uint8_t> bytes);
+  void append(std::span<const std::uint8_t> bytes);  // to what is pending
+  void flush();                                      // sends as much of it as the kernel takes
 
-  void closeAfterFlush();  // sends what is pending, then a FIN
-  void close();            // at once
-  void abort();            // at once, with a RST
+  void close();  // at once
+  void abort();  // at once, with a RST
 
   // Stops reading and writing, as a machine that went silent: nothing is lost, the kernel keeps what comes.
   void freeze(bool frozen);
@@ -69,14 +69,13 @@
   void onReady(bool readable, bool writable) override;
   void finishConnect();
   void readAll();
-  void flush();
   void fail(const std::string& reason);
   void dropSocket();
 
   Loop& loop_;
   ConnectionOwner& owner_;
   int fd_ = -1;
-  bool connecting_ = false, closing_ = false, frozen_ = false, reading_ = false, polled_ = false;
+  bool connecting_ = false, frozen_ = false, reading_ = false, polled_ = false;
   TimerId connectTimer_ = 0;
   std::string out_;
   std::size_t outAt_ = 0;
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -249,9 +249,9 @@
 void Node::run() {
   // What is carried out may call back in here; the outermost run does it all, in order.
   if (std::exchange(running_, true)) return;
-  for (auto commands = core_.take(); !commands.empty(); commands = core_.take()) {
-    if (hooks_.tamper) hooks_.tamper(*this, commands);
-    for (const router::Command& command : commands) carryOut(command);
+  while (core_.takeInto(commands_)) {
+    if (hooks_.tamper) hooks_.tamper(*this, commands_);
+    for (const router::Command& command : commands_) carryOut(command);
   }
   running_ = false;
   const std::optional<Instant> wake = core_.nextWake();
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -3,9 +3,10 @@
 #pragma once
 
 #include <functional>
-#include <map>
 #include <memory>
 #include <string>
+#include <unordered_map>
+#include <vector>
 
 #include "config/settings.h"
 #include "discovery/registry.h"
@@ -89,7 +90,8 @@
   discovery::Merged merged_;
   discovery::SavedList saved_;
   std::unique_ptr<discovery::RegistryWatch> registry_;
-  std::map<router::RequestKey, std::shared_ptr<fronts::ClientSide>> clients_;
+  std::unordered_map<router::RequestKey, std::shared_ptr<fronts::ClientSide>> clients_;
+  std::vector<router::Command> commands_;  // being carried out
   std::function<void()> drained_;
   router::RequestKey lastKey_ = 0;
   net::TimerId timer_ = 0;
--- a/src/recovery/recovery.cpp
+++ b/src/recovery/recovery.cpp
@@ -43,7 +43,7 @@
 // it.
 void Recovery::notePace(Instant now, Running& r) {
   const Duration gap = std::min(now - r.lastToken, limits_.silenceAtLeast);
-  Duration& usual = paces_.try_emplace(r.what.classIndex, kFirstPace).first->second;
+  Duration& usual = paceOf(r.what.classIndex);
   usual += (gap - usual) * kPaceStep;
   r.gap = r.tokens > 1 ? r.gap + (gap - r.gap) * kStreamStep : gap;
   const bool slow = r.tokens >= kPaceOf && r.gap > usual * limits_.slowFactor;
@@ -90,9 +90,13 @@
   }
 }
 
+Duration& Recovery::paceOf(std::size_t classIndex) {
+  if (paces_.size() <= classIndex) paces_.resize(classIndex + 1, kFirstPace);
+  return paces_[classIndex];
+}
+
 Duration Recovery::pace(std::size_t classIndex) const {
-  const auto it = paces_.find(classIndex);
-  return it == paces_.end() ? kFirstPace : it->second;
+  return classIndex < paces_.size() ? paces_[classIndex] : kFirstPace;
 }
 
 // A stream that could not go on elsewhere is better off where it is.
--- a/src/router/core.cpp
+++ b/src/router/core.cpp
@@ -16,6 +16,8 @@
   std::uint64_t key = 0;  // call or request
   std::string token;      // the policy's
 };
+using Timers = std::multimap<Instant, Timer>;
+using TimerAt = std::optional<Timers::iterator>;  // while it has not fired
 
 struct Request {
   RequestKey key = 0;
@@ -37,6 +39,7 @@
   std::string state;
   int stateAttempt = 0;
   ServerId lastEngine;  // of the stream that was lost
+  TimerAt timer;        // the last resort
 };
 
 struct Call {
@@ -45,6 +48,7 @@
   ServerId engine;
   bool reads = false;
   Instant sentAt;
+  TimerAt timer;  // of its time-out
 };
 
 // Where the client's time is up and the policy has not answered, the core does, this share of the margin
@@ -87,7 +91,8 @@
     names_.emplace(r.policyId, r.key);
     record(r, "taken", {}, -1, r.work->requestClass);
     if (draining_) return answer(r, Verdict::kRefused, Duration(0), "node is draining");
-    timers_.emplace(r.end - options_.answerMargin * kBackstopShare, Timer{Due::kRequest, r.key, {}});
+    r.timer =
+        timers_.emplace(r.end - options_.answerMargin * kBackstopShare, Timer{Due::kRequest, r.key, {}});
     if (r.asked.resumed) return resume(r, *r.asked.resumed);
     ids_.emplace(r.id, r.key);
     tellPolicy(r);
@@ -123,7 +128,7 @@
     const auto it = calls_.find(key);
     if (it == calls_.end()) ++counts_.lateTokens;
     if (it == calls_.end() || it->second.reads) return;
-    const Call& call = it->second;
+    Call& call = it->second;
     Request& r = *call.owner;
     if (r.answered) return;
     if (index < r.nextIndex) {
@@ -151,11 +156,8 @@
                  const std::string& why, recovery::Ending ending) {
     const auto it = calls_.find(key);
     if (it == calls_.end()) return;
-    const Call call = it->second;
+    const Call call = dropCall(it);
     Request& r = *call.owner;
-    calls_.erase(it);
-    r.out = 0;
-    touch(r);
     if (outcome == Outcome::kStateLost) r.stateAt.reset();
     AttemptEnded ended{RequestId{r.policyId},
                        call.attempt - r.firstNumber,
@@ -252,6 +254,7 @@
       names_.erase(it->second.policyId);
       const auto id = ids_.find(it->second.id);
       if (id != ids_.end() && id->second == key) ids_.erase(id);
+      stop(it->second.timer);
       requests_.erase(it);
     }
     const std::optional<Instant> look = recovery_.nextLook();
@@ -262,7 +265,7 @@
   Instant now_{};
   std::map<ServerId, Role> roles_;
   std::unordered_map<CallKey, Call> calls_;
-  std::multimap<Instant, Timer> timers_;
+  Timers timers_;
   std::vector<Command> out_;
   std::unordered_map<RequestKey, Request> requests_;
   Counts counts_;
@@ -291,11 +294,11 @@
     ++counts_.attempts;
     const CallKey key = r->out = ++lastCall_;
     const int number = r->number++;  // over all continuations: engines know the newest by it
-    calls_.emplace(key, Call{r, number, a.server, reads, now_});
     if (reads && r->moves == 0) recovery_.readTokens(r->work->promptTokens);
     const Duration left = r->end - now_ - options_.answerMargin;
     const Duration timeout = a.timeout.count() > 0 ? std::min(a.timeout, left) : left;
-    timers_.emplace(now_ + timeout, Timer{Due::kAttempt, key, {}});
+    const TimerAt timer = timers_.emplace(now_ + timeout, Timer{Due::kAttempt, key, {}});
+    calls_.emplace(key, Call{r, number, a.server, reads, now_, timer});
     if (reads) {
       out_.emplace_back(StartRead{key, r->key, r->id, number, a.server, left, r->work});
     } else {
@@ -371,7 +374,8 @@
     feed(std::move(event));
   }
 
-  void streamStarted(Request& r, const Call& call) {
+  void streamStarted(Request& r, Call& call) {
+    stop(call.timer);  // the stream belongs to the client now
     const ServerId engine = call.engine;
     if (recovery_.continues(r.asked.classIndex)) {
       out_.emplace_back(ResumeFrom{r.key, r.id, call.attempt, engine});
@@ -511,8 +515,8 @@
   void attemptTimedOut(CallKey key) {
     const auto it = calls_.find(key);
     if (it == calls_.end()) return;
+    it->second.timer.reset();
     Request& r = *it->second.owner;
-    if (r.started) return;  // the stream belongs to the client now
     const auto ended = endCall(r, Outcome::kTimeout, "timed out");
     if (ended) feed(*ended);
   }
@@ -520,8 +524,10 @@
   // The last resort; a policy that keeps rule 1 leaves it only streams.
   void requestTimedOut(RequestKey key) {
     const auto it = requests_.find(key);
-    if (it == requests_.end() || it->second.answered) return;
+    if (it == requests_.end()) return;
     Request& r = it->second;
+    r.timer.reset();
+    if (r.answered) return;
     if (!r.started && !r.waits) ++counts_.guarded;
     if (r.started) return endStream(r);
     const RequestId id{r.policyId};
@@ -537,15 +543,26 @@
     if (ended) feed(*ended);
   }
 
+  Call dropCall(std::unordered_map<CallKey, Call>::iterator it) {
+    Call call = it->second;
+    calls_.erase(it);
+    stop(call.timer);
+    call.owner->out = 0;
+    touch(*call.owner);
+    return call;
+  }
+
+  void stop(TimerAt& timer) {
+    if (timer) timers_.erase(*timer);
+    timer.reset();
+  }
+
   // Calls off the call that is out. From here on whatever it says is passed over.
   std::optional<AttemptEnded> endCall(Request& r, Outcome outcome, const char* why) {
     const auto it = calls_.find(r.out);
     if (it == calls_.end()) return std::nullopt;
-    const Call call = it->second;
     out_.emplace_back(CallOff{it->first});
-    calls_.erase(it);
-    r.out = 0;
-    touch(r);
+    const Call call = dropCall(it);
     record(r, "call_off", call.engine, call.attempt, why);
     // Its reply may be on the way: whatever the read has left is let go by name.
     if (call.reads) out_.emplace_back(LetGo{r.id, call.attempt, call.engine});
@@ -698,6 +715,13 @@
 }
 
 std::vector<Command> Core::take() { return std::exchange(impl_->out_, {}); }
+
+bool Core::takeInto(std::vector<Command>& commands) {
+  commands.clear();
+  commands.swap(impl_->out_);
+  return !commands.empty();
+}
+
 bool Core::draining() const { return impl_->draining_; }
 std::size_t Core::open() const { return impl_->open(); }
 std::size_t Core::owed() const { return impl_->requests_.size(); }
