Random lives of several streams explore recovery in virtual time; paces never decay to nothing

Every order of a few events says little of long lives and shared budgets, and breaks before the first token were not among them.

Breaks while reading and before the first token are steps too. A gap counts as a microsecond at least; token messages are reused.

--- a/lab/explore.cpp
+++ b/lab/explore.cpp
@@ -2,6 +2,7 @@
 
 #include <map>
 #include <optional>
+#include <random>
 #include <utility>
 
 #include "gannetcourse/router.h"
@@ -13,13 +14,13 @@
 using router::RequestKey;
 
 constexpr std::size_t kMostFaults = 20;
-constexpr RequestKey kStream = 1, kOther = 2;  // the one explored; one that goes on all the time
+constexpr RequestKey kOther = 1000;  // goes on all the time
 constexpr double kTimeLeft = 9;
 
 enum Step {
   kProgress,    // the read ends, or a token comes
   kFinish,      // the writer ends well
-  kBreak,       // the writer's connection is closed by it
+  kBreak,       // the engine, reading or writing, closes its connection
   kLinkLost,    // the node gives the connection up; the writer goes on
   kTwice,       // the last token once more
   kLate,        // a token of a call that is over
@@ -70,28 +71,30 @@
     }
     core_.serverList(at(), list);
     take();
-    for (const RequestKey key : {kOther, kStream}) {
-      router::Arrival a;
-      a.key = key;
-      a.timeLeft = Duration(key == kOther ? 1000 : kTimeLeft);
-      auto work = std::make_shared<router::Work>();
-      work->promptTokens = 300;
-      work->maxOutputTokens = 10000;
-      a.work = work;
-      core_.arrived(at(), std::move(a));
-      take();
-      progress(key);
-      progress(key);
-    }
+    arrive(kOther);
+    for (int i = 1; i <= options.streams; ++i) arrive(static_cast<RequestKey>(i));
   }
 
-  // False where it cannot happen now.
-  bool apply(Step step) {
-    Life& life = lives_[kStream];
+  void arrive(RequestKey key) {
+    router::Arrival a;
+    a.key = key;
+    a.timeLeft = Duration(key == kOther ? 1000 : kTimeLeft);
+    auto work = std::make_shared<router::Work>();
+    work->promptTokens = 300;
+    work->maxOutputTokens = 10000;
+    a.work = work;
+    core_.arrived(at(), std::move(a));
+    take();
+    for (int step = 0; step < 2 && lives_[key].call != 0; ++step) progress(key);
+  }
+
+  // False where it cannot happen to that stream now.
+  bool apply(Step step, RequestKey key) {
+    Life& life = lives_[key];
     const bool streams = life.call != 0 && life.writes && life.started;
-    if (step == kProgress) return life.call != 0 && progress(kStream);
+    if (step == kProgress) return life.call != 0 && progress(key);
     if (step == kFinish) return streams && end(life, Outcome::kOk, recovery::Ending::kTold);
-    if (step == kBreak) return streams && end(life, Outcome::kReset, recovery::Ending::kTold);
+    if (step == kBreak) return life.call != 0 && end(life, Outcome::kReset, recovery::Ending::kTold);
     if (step == kLinkLost) return streams && end(life, Outcome::kReset, recovery::Ending::kCalledOff);
     if (step == kTwice) return streams && say(life.call, life.next - 1);
     if (step == kGap) return streams && say(life.call, life.next + 1);
@@ -99,8 +102,8 @@
       return life.lastCall != 0 && life.lastCall != life.call && say(life.lastCall, life.next);
     if (step == kShortWait) return pass(0.3);
     if (step == kLongWait) return pass(1.8);
-    if (step == kAck) return acknowledge(life);
-    if (step == kClientGoes) return !life.answered && !life.gone && leave(life);
+    if (step == kAck) return acknowledge(life, key);
+    if (step == kClientGoes) return !life.answered && !life.gone && leave(life, key);
     if (!streams) return false;
     core_.leaving(at(), life.engine, at() + Duration(0.5));
     return take();
@@ -111,8 +114,9 @@
     core_.clientGone(at(), kOther);
     take();
     pass(kTimeLeft + 5);
-    const Life& life = lives_[kStream];
-    if (!life.answered && !life.gone) fault("never answered");
+    for (const auto& [key, life] : lives_) {
+      if (!life.answered && !life.gone && key != kOther) fault("never answered");
+    }
     if (core_.owed() != 0) fault("something is still owed");
   }
 
@@ -159,7 +163,7 @@
     const CallKey call = life.call;
     if (ending == recovery::Ending::kTold) {
       life.runs.erase(life.attempt);
-    } else {
+    } else if (life.started) {
       life.runs[life.attempt] = now_ + lease_;
     }
     over(life);
@@ -167,18 +171,18 @@
     return take();
   }
 
-  bool acknowledge(Life& life) {
+  bool acknowledge(Life& life, RequestKey key) {
     if (!life.fence) return false;
     const int attempt = *life.fence;
     life.fence.reset();
     std::erase_if(life.runs, [attempt](const auto& r) { return r.first <= attempt; });
-    core_.fenced(at(), kStream, attempt);
+    core_.fenced(at(), key, attempt);
     return take();
   }
 
-  bool leave(Life& life) {
+  bool leave(Life& life, RequestKey key) {
     life.gone = true;
-    core_.clientGone(at(), kStream);
+    core_.clientGone(at(), key);
     return take();
   }
 
@@ -270,7 +274,7 @@
     World world(options_);
     for (const Step step : path_) {
       ++result_.steps;
-      if (!world.apply(step)) return;  // cannot happen here
+      if (!world.apply(step, 1)) return;  // cannot happen here
     }
     ++result_.paths;
     world.settle();
@@ -295,8 +299,35 @@
   Explored result_;
 };
 
+// One life of several streams, drawn from the seed.
+std::string liveOnce(const ExploreOptions& options, std::uint64_t seed, Explored& result) {
+  std::mt19937_64 random(seed);
+  World world(options);
+  std::string path;
+  for (int i = 0; i < options.depth && world.faultText().empty(); ++i) {
+    const auto step = static_cast<Step>(std::uniform_int_distribution<int>(0, kSteps - 1)(random));
+    const int stream = std::uniform_int_distribution<int>(1, options.streams)(random);
+    if (!world.apply(step, static_cast<RequestKey>(stream))) continue;
+    ++result.steps;
+    path += std::to_string(stream) + " " + kNames[step] + ", ";
+  }
+  world.settle();
+  return world.faultText().empty() ? std::string() : path + "then: " + world.faultText();
+}
+
 }  // namespace
 
+Explored live(const ExploreOptions& options, std::uint64_t from, std::uint64_t count) {
+  Explored result;
+  for (std::uint64_t seed = from; seed < from + count; ++seed) {
+    const std::string fault = liveOnce(options, seed, result);
+    ++result.paths;
+    if (!fault.empty() && result.faults.size() < kMostFaults)
+      result.faults.push_back("seed " + std::to_string(seed) + ": " + fault);
+  }
+  return result;
+}
+
 Explored explore(const ExploreOptions& options) { return Explorer(options).run(); }
 
 }  // namespace gannetcourse::lab
--- a/lab/explore.h
+++ b/lab/explore.h
@@ -12,6 +12,7 @@
 
 struct ExploreOptions {
   int depth = 5;              // events after the first token
+  int streams = 1;            // of live(): that share one budget
   recovery::Limits recovery;  // what the core is told; a broken one shows that the check can fail
   double engineLease = 2;     // seconds after which the engines of this world end a stream by themselves
 };
@@ -22,5 +23,7 @@
 };
 
 Explored explore(const ExploreOptions& options);
+// Random lives instead, one for each seed; a seed gives the same life again.
+Explored live(const ExploreOptions& options, std::uint64_t from, std::uint64_t count);
 
 }  // namespace gannetcourse::lab
--- a/lab/main.cpp
+++ b/lab/main.cpp
@@ -44,11 +44,15 @@
   return result.counts.clean() && result.nodesEndedWell ? 0 : 1;
 }
 
-int exploreOrders(int depth, double lease) {
+struct Orders {
   lab::ExploreOptions options;
-  options.depth = depth;
-  options.recovery.lease = Duration(lease);
-  const lab::Explored found = lab::explore(options);
+  double lease = 2;
+  std::uint64_t seed = 1, lives = 0;
+};
+
+int exploreOrders(Orders o) {
+  o.options.recovery.lease = Duration(o.lease);
+  const lab::Explored found = o.lives > 0 ? lab::live(o.options, o.seed, o.lives) : lab::explore(o.options);
   for (const std::string& fault : found.faults) std::cout << "fault: " << fault << '\n';
   std::cout << "explored paths=" << found.paths << " steps=" << found.steps
             << " faults=" << found.faults.size() << std::endl;
@@ -84,13 +88,17 @@
   bench->add_flag("!--no-memory", measure.memory, "leave out the memory of open streams");
   CLI::App* const orders =
       app.add_subcommand("explore", "drive the core through every order of a stream's events");
-  int depth = 5;
-  double lease = 2;
-  orders->add_option("--depth", depth, "events after the first token")->check(CLI::Range(1, 9));
-  orders->add_option("--lease", lease, "what the core takes engines' lease of 2 s for: less is a fault");
+  Orders order;
+  orders->add_option("--depth", order.options.depth, "events after the first token")
+      ->check(CLI::Range(1, 1000));
+  orders->add_option("--lives", order.lives, "random lives instead of every order, one for each seed");
+  orders->add_option("--seed", order.seed, "of the first life");
+  orders->add_option("--streams", order.options.streams, "of a life")->check(CLI::Range(1, 50));
+  orders->add_option("--lease", order.lease,
+                     "what the core takes engines' lease of 2 s for: less is a fault");
   CLI11_PARSE(app, argc, argv);
   try {
-    if (orders->parsed()) return exploreOrders(depth, lease);
+    if (orders->parsed()) return exploreOrders(order);
     if (bench->parsed()) {
       lab::bench(measure, std::cout);
       return 0;
--- a/src/engines/fleet.cpp
+++ b/src/engines/fleet.cpp
@@ -83,7 +83,8 @@
       node_(std::move(node)),
       leaseMs_(static_cast<std::uint32_t>(lease.count() * 1000)),
       options_(options),
-      sink_(sink) {}
+      sink_(sink),
+      token_(std::make_unique<v1::DecodeToken>()) {}
 
 Fleet::~Fleet() {
   *alive_ = false;
@@ -196,8 +197,8 @@
 
 void Fleet::takeToken(router::CallKey key, std::string_view message) {
   const auto it = calls_.find(key);
-  v1::DecodeToken token;
   if (it == calls_.end()) return;
+  v1::DecodeToken& token = *token_;
   if (!parse(token, message)) return it->second.call->cancel();
   if (token.has_load()) it->second.load = loadOf(true, token.load());
   if (token.kept_tokens() > 0) it->second.kept = token.kept_tokens();
--- a/src/engines/fleet.h
+++ b/src/engines/fleet.h
@@ -10,6 +10,10 @@
 #include "gannetcourse/router.h"
 #include "grpc/channel.h"
 
+namespace gannetcourse::v1 {
+class DecodeToken;
+}
+
 namespace gannetcourse::engines {
 
 // Every way a call can end, as the module knows it. "Known not to have run" is kept apart from "may have
@@ -81,6 +85,7 @@
   std::uint32_t leaseMs_;
   grpc::ChannelOptions options_;
   Sink& sink_;
+  std::unique_ptr<v1::DecodeToken> token_;  // the one at hand
   std::map<ServerId, Engine> engines_;
   std::unordered_map<router::CallKey, Call> calls_;
   struct Small {
--- a/src/fronts/chat.cpp
+++ b/src/fronts/chat.cpp
@@ -36,11 +36,11 @@
   }
 
   void deliver(const router::Deliver& token) override {
-    v1::GenerateToken message;
-    message.set_index(token.index);
-    message.set_text(token.text);
-    if (!resume_.empty()) message.set_resume(std::exchange(resume_, {}));
-    message.SerializeToString(&bytes_);
+    token_.set_index(token.index);
+    token_.set_text(token.text);
+    if (!resume_.empty()) token_.set_resume(std::exchange(resume_, {}));
+    token_.SerializeToString(&bytes_);
+    token_.clear_resume();
     const std::size_t waiting = call_->send(bytes_);
     if (!paused_ && waiting >= router_.settings().streamBuffer) {
       paused_ = true;
@@ -73,9 +73,10 @@
   RouterSide& router_;
   std::shared_ptr<grpc::ServerCall> call_;
   router::RequestKey key_;
-  v1::ResumePoint point_;  // what its resume tokens say of it
-  std::string bytes_;      // of the token at hand
-  std::string resume_;     // goes out with the next token
+  v1::ResumePoint point_;    // what its resume tokens say of it
+  v1::GenerateToken token_;  // the one at hand
+  std::string bytes_;
+  std::string resume_;  // goes out with the next token
   bool paused_ = false;
 };
 
--- a/src/recovery/recovery.cpp
+++ b/src/recovery/recovery.cpp
@@ -12,6 +12,7 @@
 constexpr std::uint64_t kPaceOf = 6;  // tokens after which a stream's own pace means something
 const Duration kLook{0.1};            // how often streams and turns are looked at
 const Duration kFirstPace{0.05};      // of a class that has not been seen yet
+const Duration kLeastGap{1e-6};       // tokens that come together: a pace of nothing would be no measure
 
 constexpr const char* kSilent = "went silent";
 constexpr const char* kSlow = "too slow to be in time";
@@ -42,7 +43,7 @@
 // The pace counts gaps of streams whose client reads; a long gap counts as the limit, or one hang would slow
 // it.
 void Recovery::notePace(Instant now, Running& r) {
-  const Duration gap = std::min(now - r.lastToken, limits_.silenceAtLeast);
+  const Duration gap = std::clamp(now - r.lastToken, kLeastGap, limits_.silenceAtLeast);
   Duration& usual = paceOf(r.what.classIndex);
   usual += (gap - usual) * kPaceStep;
   r.gap = r.tokens > 1 ? r.gap + (gap - r.gap) * kStreamStep : gap;
