A further writer is held back too while its client takes nothing

A slow client's stream that moved to another writer was not paused again: the front believed that it was, and the new writer's tokens filled the node without bound.

The front says again that it is full for each token that still comes. Tests for this, for an engine that says GOAWAY and hands its long streams over, for a death after the last token, and for state holder and writer dying during a move.

--- a/src/fronts/chat.cpp
+++ b/src/fronts/chat.cpp
@@ -42,7 +42,8 @@
     token_.SerializeToString(&bytes_);
     token_.clear_resume();
     const std::size_t waiting = call_->send(bytes_);
-    if (!paused_ && waiting >= router_.settings().streamBuffer) {
+    // Said again for each token that still comes: a further writer does not know of it yet.
+    if (waiting >= router_.settings().streamBuffer) {
       paused_ = true;
       router_.pause(key_, true);
     }
--- a/tests/core_test.cpp
+++ b/tests/core_test.cpp
@@ -279,6 +279,52 @@
   EXPECT_EQ(core.owed(), 0u);
 }
 
+TEST_F(CoreTest, ADeathAfterTheLastTokenStillEndsWell) {
+  const CallKey call = stream(1, 7);
+  core.callEnded(at(1.4), call, Outcome::kReset, 0, {}, "after the last token");
+  const auto read = of<StartRead>(take()).front();
+  core.readEnded(at(1.5), read.call, "state", 0, {});
+  const auto write = of<StartWrite>(take()).front();
+  EXPECT_EQ(write.work->firstIndex, 1u);
+  core.callEnded(at(1.6), write.call, Outcome::kOk, 0, {}, "");  // there was nothing more to say
+  take();
+  ASSERT_EQ(of<Answer>(all).size(), 1u);
+  EXPECT_EQ(of<Answer>(all).front().verdict, Verdict::kServed);
+  EXPECT_TRUE(of<Deliver>(all).empty());
+  EXPECT_EQ(core.owed(), 0u);
+}
+
+TEST_F(CoreTest, StateHolderAndWriterDieDuringAMove) {
+  ServerList more{ServerList::Scope::kFull,
+                  {test::server(1, Role::kPrefill), test::server(8, Role::kPrefill)}};
+  for (std::uint32_t id = 2; id <= 6; ++id) more.entries.push_back(test::server(id, Role::kDecode));
+  core.serverList(at(0.5), more);
+  arrive(1, 7);
+  const auto first = of<StartRead>(take()).front();
+  core.readEnded(at(1.1), first.call, "state", 0, {});
+  const auto write = of<StartWrite>(take()).front();
+  core.token(at(1.2), write.call, 0, "a");
+  core.callEnded(at(1.3), write.call, Outcome::kReset, 0, {}, "connection lost");
+  const auto again = of<StartRead>(take()).front();
+  core.readEnded(at(1.4), again.call, "state", 0, {});
+  const auto next = of<StartWrite>(take()).front();
+  ServerList gone{ServerList::Scope::kChanges, {test::server(again.engine.value, Role::kPrefill)}};
+  gone.entries.front().state = ServerEntry::State::kGone;
+  core.serverList(at(1.45), gone);
+  core.callEnded(at(1.5), next.call, Outcome::kStateLost, 0, {}, "state is gone");
+  const auto third = of<StartRead>(take());
+  ASSERT_EQ(third.size(), 1u);
+  EXPECT_NE(third.front().engine, again.engine);
+  EXPECT_EQ(third.front().work->prompt, "a") << "what was sent is read anew with it";
+  core.readEnded(at(1.6), third.front().call, "state", 0, {});
+  const auto last = of<StartWrite>(take()).front();
+  core.token(at(1.7), last.call, 1, "b");
+  core.callEnded(at(1.8), last.call, Outcome::kOk, 0, {}, "");
+  take();
+  EXPECT_EQ(of<Answer>(all).front().verdict, Verdict::kServed);
+  EXPECT_EQ(core.owed(), 0u);
+}
+
 TEST_F(CoreTest, ALeavingWritersStreamIsHandedOver) {
   const CallKey call = stream(1, 7);
   core.token(at(1.25), call, 1, "b");
--- a/tests/node_test.cpp
+++ b/tests/node_test.cpp
@@ -457,6 +457,69 @@
   EXPECT_EQ(asked->tokens.size(), 500u);
 }
 
+TEST_F(NodeTest, ASlowClientsWriterDiesAndTheNextOneIsHeldBackToo) {
+  ScriptedEngine other(loop, 3);
+  const std::uint32_t all = 45;
+  std::vector<Call> writes;
+  std::vector<std::uint32_t> from;
+  const auto write = [&](const Call& call, const v1::DecodeRequest& ask) {
+    writes.push_back(call);
+    from.push_back(ask.first_index());
+    for (std::uint32_t i = ask.first_index(); i < all; ++i)
+      ScriptedEngine::token(call, i, std::string(1000, static_cast<char>('a' + i % 26)));
+    if (from.size() > 1) call->finish({});
+  };
+  writer.onWrite = other.onWrite = write;
+  start("<fleet file='" + writeFleet({{&reader, "prefill"}, {&writer, "decode"}, {&other, "decode"}}) +
+        "'/>");
+  v1::GenerateRequest request = query();
+  request.set_max_output_tokens(all);
+  const auto asked = ask(request, Duration(30));
+  asked->call->pause(true);
+  ASSERT_TRUE(until([&] { return !writes.empty(); }));
+  settle(0.4);
+  const std::size_t held = writes.front()->pending();
+  EXPECT_GT(held, 10000u) << "its node has taken a buffer's worth and no more";
+  writer.server.abortAll();
+  other.server.abortAll();
+  ASSERT_TRUE(until([&] { return writes.size() == 2; }));
+  settle(0.4);
+  EXPECT_GT(from[1], 0u);
+  EXPECT_GT(writes[1]->pending(), 1000u) << "the buffer is full still: the next writer waits as well";
+  asked->call->pause(false);
+  ASSERT_TRUE(until([&] { return asked->end.has_value(); }));
+  EXPECT_TRUE(asked->ended(grpc::Code::kOk)) << asked->end->status.message;
+  ASSERT_EQ(asked->tokens.size(), all);
+  for (std::uint32_t i = 0; i < all; ++i)
+    EXPECT_EQ(asked->tokens[i].front(), static_cast<char>('a' + i % 26));
+}
+
+TEST_F(NodeTest, AnEngineThatSaysGoawayHandsItsLongStreamsOver) {
+  ScriptedEngine other(loop, 3);
+  ScriptedEngine* first = nullptr;
+  const auto write = [&](ScriptedEngine& engine) {
+    return [&](const Call& call, const v1::DecodeRequest& ask) {
+      ScriptedEngine::token(call, ask.first_index(), ask.first_index() == 0 ? "one " : "two");
+      if (first != nullptr) return call->finish({});
+      first = &engine;  // and goes on for long
+    };
+  };
+  writer.onWrite = write(writer);
+  other.onWrite = write(other);
+  start("<fleet file='" + writeFleet({{&reader, "prefill"}, {&writer, "decode"}, {&other, "decode"}}) +
+        "'/>");
+  v1::GenerateRequest request = query();
+  request.set_max_output_tokens(400);
+  const auto asked = ask(request, Duration(60));
+  ASSERT_TRUE(until([&] { return asked->tokens.size() == 1; }));
+  first->server.drain();
+  ASSERT_TRUE(until([&] { return asked->end.has_value(); }));
+  EXPECT_TRUE(asked->ended(grpc::Code::kOk)) << asked->end->status.message;
+  EXPECT_EQ(asked->tokens, (std::vector<std::string>{"one ", "two"}));
+  EXPECT_EQ(first->cancelled, 1) << "taken away, not broken";
+  EXPECT_EQ(first->writes, 1);
+}
+
 // ---- Registry ----
 struct ScriptedRegistry {
   explicit ScriptedRegistry(net::Loop& loop, std::uint16_t port = 0) : server(loop, {"127.0.0.1", port}) {
