--- a/lab/clients.cpp
+++ b/lab/clients.cpp
@@ -146,7 +146,10 @@
     v1::GenerateToken token;
     token.ParseFromArray(bytes.data(), static_cast<int>(bytes.size()));
     Try& mine = tries_.at(id);
-    if (mine.firstAt <= 0) mine.firstAt = fabric_.now();
+    const double now = fabric_.now();
+    if (mine.firstAt <= 0) mine.firstAt = mine.lastAt = now;
+    mine.longestGap = std::max(mine.longestGap, now - mine.lastAt);
+    mine.lastAt = now;
     ++service_.tokens;
     fabric_.ledger.tryToken(id, token.index(), token.text());
   };
@@ -191,6 +194,7 @@
   const std::shared_ptr<Ask> ask = t.ask;
   if (how == ClientEnd::kServed) {
     service_.firstTokens.push_back(t.firstAt - t.startedAt);
+    service_.longestGaps.push_back(t.longestGap);
     if (t.firstAt - ask->startedAt <= day_.classes[ask->classIndex].aim) {
       ++service_.inTime;
       ++service_.inTimeOf[ask->classIndex];
--- a/lab/clients.h
+++ b/lab/clients.h
@@ -20,6 +20,7 @@
 struct ServiceCounts {
   std::uint64_t asks = 0, inTime = 0;  // an ask with its retries; its first token within the class's aim
   std::vector<double> firstTokens;     // seconds, of served tries
+  std::vector<double> longestGaps;     // ... the longest between two tokens of each
   std::vector<std::uint64_t> asksOf, inTimeOf;  // by class
   std::uint64_t tokens = 0;
 };
@@ -67,7 +68,7 @@
   struct Try {
     std::shared_ptr<Ask> ask;
     std::shared_ptr<grpc::ClientCall> call;
-    double startedAt = 0, firstAt = 0;
+    double startedAt = 0, firstAt = 0, lastAt = 0, longestGap = 0;
     net::TimerId watchdog = 0;
   };
 
--- a/lab/day.cpp
+++ b/lab/day.cpp
@@ -143,6 +143,7 @@
     day.overloadFactor = rules->number("overload-factor", day.overloadFactor);
     day.window = seconds(*rules, "window", day.window);
     day.reports = rules->text("reports", day.reports);
+    day.silence = seconds(*rules, "silence-at-least", day.silence);
   }
   for (EngineSpec& spec : day.engines) {
     spec.startCapacity = day.startCapacity;
@@ -202,7 +203,8 @@
   text += "  <cold-start start-capacity=\"" + plain(startCapacity) + "\" warm-after=" + time(warmAfter) +
           " overload-factor=\"" + plain(overloadFactor) + "\" window=" + time(window) + "/>\n";
   text += "  <engines reports=\"" + reports + "\"/>\n";
-  if (!recovery) text += "  <recovery enabled=\"false\"/>\n";
+  text += std::string("  <recovery enabled=\"") + (recovery ? "true" : "false") +
+          "\" silence-at-least=" + time(silence) + "/>\n";
   text += "  <fleet registry=" + config::quoted(registry) + "/>\n  <log level=\"debug\"/>\n</gannetcourse>\n";
   return text;
 }
--- a/lab/day.h
+++ b/lab/day.h
@@ -58,6 +58,7 @@
   double startCapacity = 0.3, warmAfter = 8, overloadFactor = 2.5, window = 2;
   std::string reports = "answers";
   bool recovery = true;  // of streams that lose their writer
+  double silence = 1.5;  // seconds after which a silent one counts as lost
 
   std::vector<Trouble> troubles;
 
--- a/lab/main.cpp
+++ b/lab/main.cpp
@@ -18,15 +18,16 @@
 }
 
 void printService(const lab::Day& day, lab::ServiceCounts service) {
-  auto& times = service.firstTokens;
-  std::sort(times.begin(), times.end());
-  const auto at = [&](double share) {
+  const auto at = [](std::vector<double>& times, double share) {
+    std::sort(times.begin(), times.end());
     return times.empty() ? 0.0
                          : times[static_cast<std::size_t>(share * static_cast<double>(times.size() - 1))];
   };
+  auto &first = service.firstTokens, &gaps = service.longestGaps;
   std::cerr << "asks " << service.asks << ", first token in time " << service.inTime << ", tokens "
-            << service.tokens << ", TTFT of served p50 " << at(0.5) << " s, p99 " << at(0.99)
-            << " s (simulated servers)\n";
+            << service.tokens << ", TTFT of served p50 " << at(first, 0.5) << " s, p99 " << at(first, 0.99)
+            << " s, longest gap in an answer p50 " << at(gaps, 0.5) << " s, p99 " << at(gaps, 0.99)
+            << " s, most " << at(gaps, 1) << " s (simulated servers)\n";
   for (std::size_t i = 0; i < day.classes.size(); ++i) {
     std::cerr << "  class " << day.classes[i].name << ": " << service.inTimeOf[i] << " of "
               << service.asksOf[i] << " in time\n";
