--- a/src/fronts/chat.cpp
+++ b/src/fronts/chat.cpp
@@ -53,9 +53,16 @@
     call_->onCancelled = nullptr;
     call_->onDrained = nullptr;
     call_->finish(statusOf(answer), trailersOf(answer));
-    if (call_->pending() == 0) return;
-    router_.loop().after(kLinger, [call = std::weak_ptr(call_)] {
-      if (const auto open = call.lock()) open->abandon();
+    // Most answers are out by the end of this iteration.
+    if (call_->pending() > 0)
+      router_.loop().defer([&loop = router_.loop(), call = std::weak_ptr(call_)] { linger(loop, call); });
+  }
+
+  static void linger(net::Loop& loop, const std::weak_ptr<grpc::ServerCall>& call) {
+    const auto open = call.lock();
+    if (!open || open->pending() == 0) return;
+    loop.after(kLinger, [call] {
+      if (const auto late = call.lock()) late->abandon();
     });
   }
 
--- a/src/router/core.cpp
+++ b/src/router/core.cpp
@@ -54,6 +54,7 @@
 // Where the client's time is up and the policy has not answered, the core does, this share of the margin
 // earlier.
 constexpr double kBackstopShare = 0.5;
+constexpr std::size_t kUsualText = 240;  // bytes of an answer that are made room for at once
 
 }  // namespace
 
@@ -378,6 +379,7 @@
     stop(call.timer);  // the stream belongs to the client now
     const ServerId engine = call.engine;
     if (recovery_.continues(r.asked.classIndex)) {
+      r.sent.reserve(kUsualText);
       out_.emplace_back(ResumeFrom{r.key, r.id, call.attempt, engine});
     } else {
       r.keepsText = false;
