Tokens read anew are counted; the last hard cases of lost writers have their tests

What continuations cost readers was bounded, not reported; the memory benchmark counted tokens of continuations as streams and could not open 10,000 over four connections.

The audit prints broken, resumed, whole, resumable and anew. Tests: a continuation's read breaks while the old writer speaks on, all writers of a cell gone.

--- a/lab/bench.cpp
+++ b/lab/bench.cpp
@@ -122,7 +122,7 @@
          "<listen grpc=\"127.0.0.1:0\" max-streams=\"20000\"/><zones><zone name=\"north\"/></zones>"
          "<classes><class name=\"query\" aim=\"2s\" token-aim=\"60ms\"/></classes>"
          // Streams that are held open for their memory are silent on purpose.
-         "<recovery silence-at-least=\"10min\"/>"
+         "<engines connections=\"16\"/><recovery silence-at-least=\"10min\"/>"
          "<fleet file=\"" +
          fleetFile + "\"/><log level=\"warn\"/></gannetcourse>";
 }
--- a/lab/ledger.cpp
+++ b/lab/ledger.cpp
@@ -47,8 +47,9 @@
 }
 
 std::string Counts::streams() const {
-  return "broken=" + std::to_string(broken) + " resumable=" + std::to_string(resumable) +
-         " resumed=" + std::to_string(resumed) + " whole=" + std::to_string(whole);
+  return "broken=" + std::to_string(broken) + " resumed=" + std::to_string(resumed) +
+         " whole=" + std::to_string(whole) + " resumable=" + std::to_string(resumable) +
+         " anew=" + std::to_string(static_cast<std::uint64_t>(anew));
 }
 
 void Ledger::found(const std::string& what) {
@@ -149,6 +150,11 @@
   if (it != tries_.end()) it->second.resumed = true;
 }
 
+void Ledger::promptRead(TryId id, double tokens) {
+  const auto it = tries_.find(id);
+  if (it != tries_.end() && it->second.cut) counts_.anew += tokens;
+}
+
 // A stream that its client left was not broken.
 void Ledger::countBroken(const Try& t) {
   if (!t.cut || t.end == ClientEnd::kGaveUp) return;
--- a/lab/ledger.h
+++ b/lab/ledger.h
@@ -37,9 +37,10 @@
   // Of streams that lost their writer well before their client's time: all; of safe classes; of those, the
   // ones that went on from another writer, and that were whole in the end.
   std::uint64_t broken = 0, resumable = 0, resumed = 0, whole = 0;
+  double anew = 0;  // prompt tokens that readers read for continuations, without what they had kept
   bool clean() const;
   std::string line() const;     // "audit: requests=N served=N ..."
-  std::string streams() const;  // "broken=N resumable=N resumed=N whole=N"
+  std::string streams() const;  // "broken=N resumed=N whole=N resumable=N anew=N"
 };
 
 enum class ClientEnd { kServed, kRefused, kFailed, kRejected, kBroken, kGaveUp };
@@ -69,6 +70,7 @@
   // A writer's stream ended before it was whole; a stream began past its first token.
   void streamCut(TryId id, double at);
   void streamResumed(TryId id);
+  void promptRead(TryId id, double tokens);
   // An answer began to be written for it: the effect.
   void effect(AttemptKey key, double at);
 
--- a/lab/stand_in.cpp
+++ b/lab/stand_in.cpp
@@ -229,6 +229,7 @@
     const std::string state = std::to_string(model_.spec().id) + "/" + std::to_string(++last_);
     states_[state] = {named.request, named.attempt, named.promptTokens, call->connectionId(), false};
     model_.holdState(named.promptTokens);
+    fabric_.ledger.promptRead(named.id, named.promptTokens - kept);
     fabric_.ledger.stateHeld(name(), named.request, state, fabric_.now(), call->silenced());
     v1::PrefillReply reply;
     reply.set_state(state);
--- a/tests/core_test.cpp
+++ b/tests/core_test.cpp
@@ -325,6 +325,48 @@
   EXPECT_EQ(core.owed(), 0u);
 }
 
+TEST_F(CoreTest, AContinuationsReadBreaksAndTheOldWriterSpeaksOn) {
+  ServerList more{ServerList::Scope::kFull,
+                  {test::server(1, Role::kPrefill), test::server(8, Role::kPrefill)}};
+  for (std::uint32_t id = 2; id <= 4; ++id) more.entries.push_back(test::server(id, Role::kDecode));
+  core.serverList(at(0.5), more);
+  arrive(1, 7);
+  core.readEnded(at(1.1), of<StartRead>(take()).front().call, "state", 0, {});
+  const auto old = of<StartWrite>(take()).front();
+  core.token(at(1.2), old.call, 0, "a");
+  core.token(at(1.25), old.call, 2, "gap");
+  core.fenced(at(1.3), 7, 1);
+  const auto read = of<StartRead>(take()).front();
+  core.token(at(1.32), old.call, 1, "it said that it had ended");
+  core.callEnded(at(1.35), read.call, Outcome::kReset, 0, {}, "connection lost");
+  std::vector<StartRead> again = of<StartRead>(take());
+  for (const StartRead& r : of<StartRead>(runTo(1.45))) again.push_back(r);
+  ASSERT_EQ(again.size(), 1u);
+  EXPECT_NE(again.front().engine, read.engine);
+  EXPECT_TRUE(of<Deliver>(all).empty());
+  EXPECT_EQ(core.counts().lateTokens, 1u);
+}
+
+TEST_F(CoreTest, AllWritersOfACellAreGone) {
+  ServerList fleet{ServerList::Scope::kFull,
+                   {test::server(1, Role::kPrefill, 1), test::server(2, Role::kDecode, 1),
+                    test::server(3, Role::kDecode, 1), test::server(9, Role::kDecode, 2)}};
+  core.serverList(at(0.5), fleet);
+  arrive(1, 7);
+  core.readEnded(at(1.1), of<StartRead>(take()).front().call, "state", 0, {});
+  const auto first = of<StartWrite>(take()).front();
+  ASSERT_NE(first.engine, ServerId{9}) << "the cell's own come first";
+  core.token(at(1.2), first.call, 0, "a");
+  ServerList gone{ServerList::Scope::kChanges, {fleet.entries[1], fleet.entries[2]}};
+  for (ServerEntry& entry : gone.entries) entry.state = ServerEntry::State::kGone;
+  core.serverList(at(1.25), gone);
+  core.callEnded(at(1.3), first.call, Outcome::kReset, 0, {}, "connection lost");
+  core.readEnded(at(1.4), of<StartRead>(take()).front().call, "state", 0, {});
+  const auto writes = of<StartWrite>(take());
+  ASSERT_EQ(writes.size(), 1u);
+  EXPECT_EQ(writes.front().engine, ServerId{9});
+}
+
 TEST_F(CoreTest, ALeavingWritersStreamIsHandedOver) {
   const CallKey call = stream(1, 7);
   core.token(at(1.25), call, 1, "b");
