--- a/tests/core_test.cpp
+++ b/tests/core_test.cpp
@@ -367,6 +367,38 @@
   EXPECT_EQ(writes.front().engine, ServerId{9});
 }
 
+TEST_F(CoreTest, MovesDoNotPushAColdWriterOver) {
+  ServerList fleet{ServerList::Scope::kFull,
+                   {test::server(1, Role::kPrefill), test::server(8, Role::kPrefill),
+                    test::server(2, Role::kDecode), test::server(4, Role::kDecode)}};
+  core.serverList(at(0.5), fleet);
+  std::map<CallKey, ServerId> streams;
+  for (RequestKey key = 1; key <= 40; ++key) {
+    arrive(1 + 0.1 * static_cast<double>(key), key, 60);
+    const double now = 1.02 + 0.1 * static_cast<double>(key);
+    for (const StartRead& read : of<StartRead>(take())) core.readEnded(at(now), read.call, "state", 0, {});
+    for (const StartWrite& write : of<StartWrite>(take())) {
+      core.token(at(now), write.call, 0, "a");
+      streams.emplace(write.call, write.engine);
+    }
+  }
+  ServerEntry cold = test::server(3, Role::kDecode);
+  cold.startedAt = at(5.1);
+  core.serverList(at(5.1), ServerList{ServerList::Scope::kChanges, {cold}});
+  take();
+  int lost = 0, toCold = 0, toWarm = 0;
+  for (const auto& [call, engine] : streams) {
+    if (engine != ServerId{2}) continue;
+    ++lost;
+    core.callEnded(at(5.2), call, Outcome::kReset, 0, {}, "connection lost");
+    for (const StartRead& read : of<StartRead>(take())) core.readEnded(at(5.2), read.call, "state", 0, {});
+    for (const StartWrite& write : of<StartWrite>(take())) ++(write.engine == ServerId{3} ? toCold : toWarm);
+  }
+  EXPECT_GT(lost, 10);
+  EXPECT_GT(toWarm, 5) << "moves go on all the same";
+  EXPECT_LE(toCold, toWarm / 4) << "a cold writer gets its budget's share, as of new requests";
+}
+
 TEST_F(CoreTest, ALeavingWritersStreamIsHandedOver) {
   const CallKey call = stream(1, 7);
   core.token(at(1.25), call, 1, "b");
