No pass over all waiting streams for each one lost; GOAWAY ages; recovery settings are fixed

Reading the change once more: each lost stream and each engine's word sorted all that wait, which is quadratic when a writer takes thousands with it; an engine that said GOAWAY and came back under its number would have lost its streams for ever; a reload took changed recovery settings without effect or word; received_tokens could overflow a prompt's length.

The module says at once whether to ask an engine, and whether its word lets a stream go on. What GOAWAY means is the module's. An end that has passed is forgotten. Changed recovery settings are refused by name; received_tokens are checked.

--- a/include/gannetcourse/recovery.h
+++ b/include/gannetcourse/recovery.h
@@ -31,6 +31,7 @@
   Duration lease{2};             // an engine that hears nothing of this node for so long ends its streams
   Duration fenceAgain{0.25};  // how often an engine that does not answer is asked whether a stream has ended
   Duration moveEarly{0.3};    // before an engine leaves, its long streams should be away
+  Duration engineGrace{3};    // how long an engine that says GOAWAY is taken to write on
   std::uint64_t keptPerStream = 64 * 1024;       // bytes of an answer that are kept for a continuation
   std::uint64_t keptPerNode = 64 * 1024 * 1024;  // ... of all answers of this node
   std::vector<Effect> effects;                   // by class: only kSafe streams go on
@@ -63,7 +64,12 @@
   Ending ending = Ending::kTold;
 };
 
-enum class Verdict { kGoOn, kWait, kGiveUp };
+enum class Verdict {
+  kGoOn,
+  kWait,   // for its turn
+  kFence,  // until its attempt is known to have ended: its engine is to be asked now
+  kGiveUp
+};
 struct Decision {
   Verdict verdict = Verdict::kGiveUp;
   std::string why;  // for the records
@@ -81,9 +87,9 @@
   // A token came. False once what is kept has passed its limit: the stream cannot be continued any more.
   bool token(Instant now, StreamKey stream, std::size_t bytes);
   void paused(Instant now, StreamKey stream, bool paused);  // its client takes nothing: silence means nothing
-  void ended(StreamKey stream);                             // it is over, or lost
-  // The engine is to end `by` then; absent: it stays after all.
+  // The engine is to end `by` then; absent: it stays after all. One that is still there then has stayed.
   void leaving(ServerId engine, std::optional<Instant> by);
+  void goesAway(Instant now, ServerId engine);  // it says that it ends, not when
 
   // Streams to be taken from their writers now, most worth first. Each has its turn: lost() lets it go on as
   // soon as its attempt is known to have ended. These are streams
@@ -99,14 +105,15 @@
 
   // ---- Streams that are lost ----
   Decision lost(Instant now, const Lost& stream);
-  void fenced(Instant now, StreamKey stream);  // the engine says that it writes nothing more of it
+  // The engine says that it writes nothing more of it: whether it goes on now.
+  Verdict fenced(Instant now, StreamKey stream);
   // Those that have waited and may go on now, most worth first; those that have waited too long; and those
   // whose engine should be asked to end them.
   struct Turns {
     std::vector<StreamKey> goOn, giveUp, fence;
   };
   Turns turns(Instant now);
-  void forget(StreamKey stream);   // its client left while it waited
+  void forget(StreamKey stream);   // it is over, running or waiting
   void readTokens(double tokens);  // a new request's read was sent: continuations earn their share
 
   std::optional<Instant> nextLook() const;  // when moves() and turns() should be asked again
--- a/include/gannetcourse/router.h
+++ b/include/gannetcourse/router.h
@@ -166,6 +166,7 @@
   void fenced(Instant now, RequestKey request, int attempt);
   // The engine is to end `by` then (absent: it stays after all); its long streams are moved in time.
   void leaving(Instant now, ServerId engine, std::optional<Instant> by);
+  void goesAway(Instant now, ServerId engine);  // it says that it ends, not when
   void probeEnded(Instant now, ServerId engine, Outcome outcome, Duration elapsed,
                   const std::optional<LoadReport>& load);
   void seatAnswered(Instant now, RequestKey request, ServerId engine, bool held);
--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -155,7 +155,7 @@
     if (!recovery) return;
     recovery::Limits& r = s_.recovery;
     r.enabled = recovery->flag("enabled", r.enabled);
-    r.maxMoves = static_cast<int>(recovery->count("max-moves", 3));
+    r.maxMoves = static_cast<int>(recovery->count("max-moves", static_cast<std::uint64_t>(r.maxMoves)));
     r.leastTimeLeft = recovery->duration("least-time-left", r.leastTimeLeft);
     r.mostWait = recovery->duration("most-wait", r.mostWait);
     r.rebuildShare = recovery->number("rebuild-share", r.rebuildShare);
@@ -166,7 +166,7 @@
     r.slowFor = recovery->duration("slow-for", r.slowFor);
     r.lease = recovery->duration("lease", r.lease);
     r.moveEarly = recovery->duration("move-early", r.moveEarly);
-    s_.engineGrace = recovery->duration("engine-grace", s_.engineGrace);
+    r.engineGrace = recovery->duration("engine-grace", r.engineGrace);
     r.keptPerStream = recovery->bytes("kept-per-stream", r.keptPerStream);
     r.keptPerNode = recovery->bytes("kept-per-node", r.keptPerNode);
     if (r.lease < Duration(0.4))
@@ -242,6 +242,19 @@
   std::vector<Fault> faults_;
 };
 
+// All of it in one line; what differs there needs a restart.
+std::string recoveryText(const recovery::Limits& r) {
+  std::string text = r.enabled ? "on" : "off";
+  for (const double n :
+       {static_cast<double>(r.maxMoves), r.rebuildShare, r.rebuildBurst, r.silenceFactor, r.slowFactor,
+        static_cast<double>(r.keptPerStream), static_cast<double>(r.keptPerNode)})
+    text += ' ' + std::to_string(n);
+  for (const Duration d :
+       {r.leastTimeLeft, r.mostWait, r.silenceAtLeast, r.slowFor, r.lease, r.moveEarly, r.engineGrace})
+    text += ' ' + formatDuration(d);
+  return text;
+}
+
 struct Line {
   const char* name;
   std::string (*value)(const NodeSettings&);
@@ -257,6 +270,7 @@
       {"fleet saved", [](const NodeSettings& s) { return s.savedFleet; }, true},
       {"log file", [](const NodeSettings& s) { return s.logFile; }, true},
       {"fleet file", [](const NodeSettings& s) { return s.fleetFile; }, false},
+      {"recovery", [](const NodeSettings& s) { return recoveryText(s.recovery); }, true},
       {"resume key-file", [](const NodeSettings& s) { return s.resumeKeys; }, false},
       {"log level", [](const NodeSettings& s) { return s.logLevel; }, false},
       {"listen stream-buffer", [](const NodeSettings& s) { return std::to_string(s.streamBuffer); }, false},
--- a/src/config/settings.h
+++ b/src/config/settings.h
@@ -37,7 +37,6 @@
   Duration connectTimeout{0.25}, keepalive{5}, keepaliveTimeout{2};
   std::uint32_t engineConnections = 4;
   recovery::Limits recovery;  // of streams whose writer is lost
-  Duration engineGrace{3};    // how long an engine that says that it ends is taken to write on
 
   std::string resumeKeys;  // path of the key file for resume tokens; empty: none are given or taken
   std::string registry, fleetFile, savedFleet;  // address; paths. Empty: none
--- a/src/fronts/chat.cpp
+++ b/src/fronts/chat.cpp
@@ -3,7 +3,6 @@
 #include <xxhash.h>
 
 #include <algorithm>
-#include <chrono>
 #include <cmath>
 
 #include "gannetcourse/v1/chat.pb.h"
@@ -12,11 +11,6 @@
 namespace gannetcourse::fronts {
 namespace {
 
-std::int64_t unixMillis() {
-  const auto now = std::chrono::system_clock::now().time_since_epoch();
-  return std::chrono::duration_cast<std::chrono::milliseconds>(now).count();
-}
-
 // A client that does not take its last bytes has this long for it after the answer.
 const Duration kLinger{1};
 
@@ -31,7 +25,7 @@
     point_.set_request(from.id);
     point_.set_attempt(static_cast<std::uint32_t>(from.attempt));
     point_.set_engine(from.engine.value);
-    point_.set_issued_unix_ms(unixMillis());
+    point_.set_issued_unix_ms(net::unixMillis());
     resume_ = router_.sealer().seal(point_.SerializeAsString());
   }
 
@@ -175,9 +169,11 @@
     if (!sameRequest(point, pointOf(ask_))) return invalid("resume: belongs to another request");
     if (settings_.policy.classes[arrival.classIndex].effect != Effect::kSafe)
       return invalid("resume: the effect of this class may have happened");
-    if (unixMillis() - point.issued_unix_ms() > settings_.longestDeadline.count() * 1000)
+    if (net::unixMillis() - point.issued_unix_ms() > settings_.longestDeadline.count() * 1000)
       return invalid("resume: is older than longest-deadline");
     if (ask_.received_tokens() == 0) return invalid("received_tokens: is missing");
+    if (ask_.received_tokens() > arrival.work->maxOutputTokens)
+      return invalid("received_tokens: are more than max_output_tokens");
     arrival.resumed = {point.request(), static_cast<int>(point.attempt()), ServerId{point.engine()},
                        ask_.received_tokens(), ask_.received_text()};
     return std::nullopt;
--- a/src/net/loop.cpp
+++ b/src/net/loop.cpp
@@ -17,6 +17,11 @@
   return Instant(std::chrono::duration_cast<Duration>(std::chrono::steady_clock::now().time_since_epoch()));
 }
 
+std::int64_t unixMillis() {
+  const auto now = std::chrono::system_clock::now().time_since_epoch();
+  return std::chrono::duration_cast<std::chrono::milliseconds>(now).count();
+}
+
 namespace {
 [[noreturn]] void systemFault(const char* what) {
   throw std::system_error(errno, std::generic_category(), what);
--- a/src/net/loop.h
+++ b/src/net/loop.h
@@ -16,6 +16,7 @@
 
 // The monotonic clock as the router's Instant.
 Instant monotonicNow();
+std::int64_t unixMillis();  // of the wall clock, which may jump
 
 // Told when a watched descriptor becomes ready. Edge-triggered: read or write until EAGAIN.
 class Watcher {
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -1,7 +1,6 @@
 #include "node/node.h"
 
 #include <algorithm>
-#include <chrono>
 #include <stdexcept>
 #include <utility>
 
@@ -10,11 +9,6 @@
 namespace gannetcourse::node {
 namespace {
 
-std::int64_t unixMillis() {
-  const auto now = std::chrono::system_clock::now().time_since_epoch();
-  return std::chrono::duration_cast<std::chrono::milliseconds>(now).count();
-}
-
 grpc::ServerOptions serverOptions(const config::NodeSettings& s) {
   grpc::ServerOptions options;
   options.http2.maxStreams = s.maxStreams;
@@ -62,7 +56,7 @@
       settings_(std::move(settings)),
       sealer_(sealerOf(settings_)),
       hooks_(std::move(hooks)),
-      translator_(settings_.zones, net::monotonicNow(), unixMillis()),
+      translator_(settings_.zones, net::monotonicNow(), net::unixMillis()),
       core_(policySettings(settings_),
             {settings_.name + "-" + start, settings_.answerMargin, bool(hooks_.record), settings_.recovery}),
       fleet_(loop, settings_.name, settings_.recovery.lease, channelOptions(settings_), *this),
@@ -191,10 +185,9 @@
   run();
 }
 
-// Its streams run on for the grace that engines grant at their end; the long ones are moved before.
 void Node::goesAway(ServerId engine) {
   log("engines", "info", "engine " + std::to_string(engine.value) + " says that it ends");
-  core_.leaving(loop_.now(), engine, loop_.now() + settings_.engineGrace);
+  core_.goesAway(loop_.now(), engine);
   run();
 }
 
--- a/src/recovery/recovery.cpp
+++ b/src/recovery/recovery.cpp
@@ -76,13 +76,6 @@
   it->second.lastToken = now;  // what was held back comes first
 }
 
-void Recovery::ended(StreamKey stream) {
-  const auto it = running_.find(stream);
-  if (it == running_.end()) return;
-  keptBytes_ -= it->second.kept;
-  running_.erase(it);
-}
-
 void Recovery::leaving(ServerId engine, std::optional<Instant> by) {
   if (by) {
     leaving_[engine] = *by;
@@ -91,6 +84,8 @@
   }
 }
 
+void Recovery::goesAway(Instant now, ServerId engine) { leaving(engine, now + limits_.engineGrace); }
+
 Duration& Recovery::paceOf(std::size_t classIndex) {
   if (paces_.size() <= classIndex) paces_.resize(classIndex + 1, kFirstPace);
   return paces_[classIndex];
@@ -146,6 +141,7 @@
   std::vector<Move> found;
   std::vector<Candidate> all;
   if (!limits_.enabled) return found;
+  std::erase_if(leaving_, [now](const auto& engine) { return engine.second < now; });
   for (const auto& [key, r] : running_) {
     const char* const why = reasonToMove(now, r);
     if (why == nullptr || !eligible(now, key, r)) continue;
@@ -212,14 +208,22 @@
     hasTurn = true;
   }
   if (known && hasTurn) return {Verdict::kGoOn, "goes on from another writer"};
-  waiting_[stream.stream] = {stream, now, known ? now : now + limits_.lease, now, hasTurn};
-  return {Verdict::kWait,
-          known ? "waits for its turn" : "waits until its last attempt is known to have ended"};
+  waiting_[stream.stream] = {stream, now, known ? now : now + limits_.lease, now + limits_.fenceAgain,
+                             hasTurn};
+  if (known) return {Verdict::kWait, "waits for its turn"};
+  return {Verdict::kFence, "waits until its last attempt is known to have ended"};
 }
 
-void Recovery::fenced(Instant now, StreamKey stream) {
+Verdict Recovery::fenced(Instant now, StreamKey stream) {
   const auto it = waiting_.find(stream);
-  if (it != waiting_.end()) it->second.knownAt = std::min(it->second.knownAt, now);
+  if (it == waiting_.end()) return Verdict::kWait;
+  Waiting& w = it->second;
+  const bool mayHaveTurn = w.hasTurn || (budget_ >= w.lost.tokens && !someoneWaitsForATurn(now));
+  w.knownAt = std::min(w.knownAt, now);
+  if (!mayHaveTurn || w.lost.timeLeft - (now - w.since) < limits_.leastTimeLeft) return Verdict::kWait;
+  if (!w.hasTurn) budget_ -= w.lost.tokens;
+  waiting_.erase(it);
+  return Verdict::kGoOn;
 }
 
 Recovery::Turns Recovery::turns(Instant now) {
@@ -250,7 +254,10 @@
 
 void Recovery::forget(StreamKey stream) {
   waiting_.erase(stream);
-  ended(stream);
+  const auto it = running_.find(stream);
+  if (it == running_.end()) return;
+  keptBytes_ -= it->second.kept;
+  running_.erase(it);
 }
 
 void Recovery::readTokens(double tokens) {
--- a/src/resume/seal.cpp
+++ b/src/resume/seal.cpp
@@ -1,5 +1,6 @@
 #include "resume/seal.h"
 
+#include <openssl/crypto.h>
 #include <openssl/evp.h>
 #include <openssl/rand.h>
 
@@ -30,21 +31,10 @@
   if (good != 1) throw std::runtime_error("OpenSSL cannot seal");
 }
 
-int hexDigit(char c) {
-  if (c >= '0' && c <= '9') return c - '0';
-  if (c >= 'a' && c <= 'f') return c - 'a' + 10;
-  if (c >= 'A' && c <= 'F') return c - 'A' + 10;
-  return -1;
-}
-
 bool readHex(const std::string& text, std::array<unsigned char, 32>& out) {
-  if (text.size() != 2 * out.size()) return false;
-  for (std::size_t i = 0; i < out.size(); ++i) {
-    const int high = hexDigit(text[2 * i]), low = hexDigit(text[2 * i + 1]);
-    if (high < 0 || low < 0) return false;
-    out[i] = static_cast<unsigned char>(high * 16 + low);
-  }
-  return true;
+  std::size_t size = 0;
+  return text.size() == 2 * out.size() &&
+         OPENSSL_hexstr2buf_ex(out.data(), out.size(), &size, text.c_str(), '\0') == 1 && size == out.size();
 }
 
 bool goodName(const std::string& name) {
--- a/src/router/core.cpp
+++ b/src/router/core.cpp
@@ -183,11 +183,11 @@
     const auto it = requests_.find(key);
     if (it == requests_.end() || !it->second.waits || it->second.number - 1 != attempt) return;
     record(it->second, "fenced", {}, attempt);
-    recovery_.fenced(now_, key);
-    takeTurns();
+    if (recovery_.fenced(now_, key) == recovery::Verdict::kGoOn) goOn(it->second);
   }
 
   void leaving(ServerId engine, std::optional<Instant> by) { recovery_.leaving(engine, by); }
+  void goesAway(ServerId engine) { recovery_.goesAway(now_, engine); }
 
   void paused(RequestKey key, bool paused) { recovery_.paused(now_, key, paused); }
 
@@ -417,8 +417,12 @@
     r.waits = true;
     r.lastEngine = ended.server;
     record(r, "lost", ended.server, ended.attempt + r.firstNumber, why + "; " + decision.why);
-    if (decision.verdict == recovery::Verdict::kGoOn) return goOn(r);
-    takeTurns();
+    if (decision.verdict == recovery::Verdict::kGoOn) goOn(r);
+    if (decision.verdict == recovery::Verdict::kFence) askToFence(r);
+  }
+
+  void askToFence(const Request& r) {
+    out_.emplace_back(FenceAttempt{r.key, r.id, r.number - 1, r.lastEngine});
   }
 
   // Takes a stream from a writer that may still be at it.
@@ -449,7 +453,7 @@
       return answer(r, Verdict::kFailed, Duration(0), "cannot be resumed: " + decision.why);
     r.waits = true;
     record(r, "resumed", from.engine, from.attempt, "as " + r.name + "; " + decision.why);
-    takeTurns();
+    askToFence(r);
   }
 
   // Where this node itself still has the answer under way, its client has left that call for this one.
@@ -462,11 +466,7 @@
     if (call != calls_.end()) from.engine = call->second.engine;
     if (old.waits) from.engine = old.lastEngine;
     if (old.answered) return;
-    const RequestId id{old.policyId};
-    answer(old, Verdict::kFailed, Duration(0), "resumed by another call");
-    const auto ended = endCall(old, Outcome::kCancelled, "resumed by another call");
-    if (ended) feed(*ended);
-    feed(ClientGone{id});
+    giveUp(old, Verdict::kFailed, Outcome::kCancelled, "resumed by another call");
   }
 
   void goOn(Request& r) {
@@ -498,9 +498,7 @@
     const recovery::Recovery::Turns turns = recovery_.turns(now_);
     for (const RequestKey key : turns.fence) {
       const auto it = requests_.find(key);
-      if (it == requests_.end() || it->second.answered) continue;
-      const Request& r = it->second;
-      out_.emplace_back(FenceAttempt{r.key, r.id, r.number - 1, r.lastEngine});
+      if (it != requests_.end() && !it->second.answered) askToFence(it->second);
     }
     for (const RequestKey key : turns.goOn) {
       const auto it = requests_.find(key);
@@ -532,9 +530,14 @@
     if (r.answered) return;
     if (!r.started && !r.waits) ++counts_.guarded;
     if (r.started) return endStream(r);
+    giveUp(r, Verdict::kDeadline, Outcome::kTimeout, "time is up");
+  }
+
+  // Answers it, whatever the policy meant to do with it.
+  void giveUp(Request& r, Verdict verdict, Outcome outcome, const char* why) {
     const RequestId id{r.policyId};
-    answer(r, Verdict::kDeadline, Duration(0), "time is up");
-    const auto ended = endCall(r, Outcome::kTimeout, "time is up");
+    answer(r, verdict, Duration(0), why);
+    const auto ended = endCall(r, outcome, why);
     if (ended) feed(*ended);
     feed(ClientGone{id});
   }
@@ -691,6 +694,10 @@
   step(now, [&](Impl& impl) { impl.leaving(engine, by); });
 }
 
+void Core::goesAway(Instant now, ServerId engine) {
+  step(now, [&](Impl& impl) { impl.goesAway(engine); });
+}
+
 void Core::probeEnded(Instant now, ServerId engine, Outcome outcome, Duration elapsed,
                       const std::optional<LoadReport>& load) {
   step(now, [&](Impl& impl) { impl.feed(ProbeEnded{engine, outcome, elapsed, load}); });
