Unsafe requests are failed while anything is out; a tenant's share allows for chance

Change: mayRefuse counts any attempt that is out; the bucket holds four seconds of a share and three deviations of chance, and starts full. A test for each.

--- a/src/policy/policy.cpp
+++ b/src/policy/policy.cpp
@@ -46,6 +46,8 @@
 constexpr double kYieldShare = 0.3;     // cost of a writer that should yield, of the shortest aim
 constexpr double kLetIn = 0.5;          // of its aim that a first token may be expected to take to be let in
 constexpr double kOverShareRoom = 0.4;  // ... and of that, for those beyond their tenant's share
+constexpr double kShareSpan = 4;        // seconds of its share that a tenant may ask for at once
+constexpr double kShareChance = 3;      // ... and deviations of chance round that
 constexpr double kRecent = 1.5;         // how long a send is taken not to show in the reports yet
 constexpr double kTimeoutFactor = 3;    // a time-out against the time expected of the work
 constexpr double kSilentShare = 0.5;    // ... and, at least, against the request's aim
@@ -71,7 +73,8 @@
  public:
   explicit Impl(Settings settings) : set_(std::move(settings)), random_(set_.seed) {
     for (const ClassSettings& c : set_.classes) shortestAim_ = std::min(shortestAim_, sec(c.aim));
-    for (const TenantSettings& t : set_.tenants) buckets_.push_back({2 * t.quotaPerSecond / set_.nodes, 0});
+    for (const TenantSettings& t : set_.tenants)
+      buckets_.push_back({shareDepth(t.quotaPerSecond / set_.nodes), 0});
   }
 
   void handle(Instant now, const Event& event, std::vector<Action>& actions) {
@@ -473,9 +476,10 @@
     return c.group == DedupGroup::kAll || s.entry.cell == r.ranOn.cell;
   }
 
+  // What is still out proves nothing yet, at a reader neither: only how it ends tells.
   bool mayRefuse(const Request& r) const {
     const ClassSettings& c = classOf(r);
-    const bool ran = r.mayHaveRun || (r.out && runsEffect(r));
+    const bool ran = r.mayHaveRun || r.out;
     return !ran || c.effect == Effect::kSafe || (c.effect == Effect::kKeyed && c.group == DedupGroup::kAll);
   }
 
@@ -785,12 +789,18 @@
   }
 
   // ---- Fair shares ----
+  // What a tenant may ask of this node at once: its part of some seconds, and what chance may add to it. With
+  // hundreds of nodes a node's part is a request in ten seconds, and two that came together looked beyond it.
+  static double shareDepth(double rate) {
+    return kShareSpan * rate + kShareChance * std::sqrt(kShareSpan * rate) + 1;
+  }
+
   bool withinShare(const RequestArrived& ask) {
     if (!ask.tenant || *ask.tenant >= buckets_.size() || set_.tenants[*ask.tenant].quotaPerSecond <= 0)
       return true;
     const double rate = set_.tenants[*ask.tenant].quotaPerSecond / set_.nodes;
     auto& [left, at] = buckets_[*ask.tenant];
-    left = std::min(2 * rate + 1, left + rate * (now_ - at));
+    left = std::min(shareDepth(rate), left + rate * (now_ - at));
     at = now_;
     if (left < 1) return false;
     left -= 1;
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -358,5 +358,24 @@
   EXPECT_GT(within, beyond);
 }
 
+// With hundreds of nodes a tenant's part at one of them is a request in many seconds; two that come together
+// are chance, not a tenant beyond its share.
+TEST(Overload, ChanceAtOneOfManyNodesIsNoTenantBeyondItsShare) {
+  Settings settings = twoStageSettings();
+  settings.nodes = 150;
+  settings.tenants = {{0.07, 20.0}};
+  Host host(settings);
+  host.list(1, {server(1, Role::kPrefill), server(2, Role::kDecode)});
+  host.request(1.01, "slow", 100);
+  host.ended(1.02, "slow", 1, Outcome::kPrefilled);
+  host.streams(1.29, "slow", 2);  // what lies beyond a share waits for that, what lies within does not
+  host.tick(1.295);
+  for (const std::string id : {"a", "b"}) {
+    RequestArrived r = ask(id, 100, 0);
+    r.tenant = 0;
+    EXPECT_NE(sentTo(host.feed(1.3, r)), 0U) << id;
+  }
+}
+
 }  // namespace
 }  // namespace gannetcourse::test
--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -78,6 +78,17 @@
   EXPECT_EQ(only<Release>(host.last).size(), 1U);
 }
 
+// What is out proves nothing until it has ended, be it a read that can have no effect.
+TEST(NoEffectTwice, UnsafeIsNotRefusedWhileAReadIsOut) {
+  Host host(effectSettings(Effect::kUnsafe, DedupGroup::kAll));
+  host.list(1, {server(1, Role::kPrefill), server(2, Role::kDecode)});
+  host.request(1.1, "a", 1000, 0.5);
+  ASSERT_EQ(only<Send>(host.all).size(), 1U);
+  host.run(1.6);
+  EXPECT_TRUE(only<Refuse>(host.all).empty());
+  EXPECT_EQ(only<Fail>(host.all).size(), 1U);
+}
+
 TEST(NoEffectTwice, UnsafeGoesAgainWhenProvedNotRun) {
   Host host(effectSettings(Effect::kUnsafe, DedupGroup::kAll));
   host.list(1, {server(1, Role::kPrefill), server(2, Role::kDecode), server(3, Role::kDecode)});
