Sessions that begin with one text share its homes; popular texts have more of them

Ruled out: the readers' memory (0.4 M tokens of shared text against 10 M). Change: homeOf goes by the shared text, on as many readers as its part of the requests asks for.

--- a/src/policy/policy.cpp
+++ b/src/policy/policy.cpp
@@ -39,6 +39,9 @@
 constexpr std::size_t kMostKept = 50000;             // its entries before old ones are dropped
 constexpr double kHomeKeeps = 0.75;     // share of a prompt taken to be kept at its session's home
 constexpr double kNearHome = 3;         // odds that a home lies in our zone, a server
+constexpr double kPopular = 60;         // how long a request counts for the popularity of its shared text
+constexpr double kPopularPrior = 4;     // requests for other texts that are taken as seen
+constexpr double kHomesSpread = 1.5;    // homes of a shared text against its part of the requests, in readers
 constexpr double kMemoryPrior = 2e5;    // tokens, of a server that does not tell its memory
 constexpr double kLastResort = 100;     // cost of having a pure writer read
 constexpr int kMostHeldTried = 16;      // requests that may stay before a pass over our queue ends
@@ -128,6 +131,7 @@
     r.parts = {static_cast<int>(ask.classIndex)};
     if (ask.tenant) r.parts.push_back(-1 - static_cast<int>(*ask.tenant));
     learn(meanPrompt_, ask.promptTokens);
+    for (Fading* count : {&asked_[ask.prefix], &askedAll_}) count->set(count->get(now_, kPopular) + 1, now_);
     if (set_.probePrice > 0) probes_ = std::min(kMostProbes, probes_ + kProbeBudget / set_.probePrice);
     if (now_ + margin() >= r.deadline) return finish(r);  // too late for anything but an answer
     enqueue(r);
@@ -200,6 +204,7 @@
     });
     if (kept_.size() > kMostKept) {
       std::erase_if(kept_, [this](const auto& e) { return e.second.back().at < now_ - kKeepFor / 2; });
+      std::erase_if(asked_, [this](const auto& e) { return e.second.get(now_, kPopular) < 0.5; });
     }
   }
 
@@ -385,9 +390,10 @@
   const Server* homeOf(const Request& r) const {
     const Server* home = nullptr;
     double first = 1e18;
+    const std::uint64_t key = homeKey(r);
     for (const auto& [id, s] : servers_) {
-      if (!s.serving() || s.entry.role == Role::kDecode || r.ask.session == 0) continue;
-      const double lot = std::max(1e-18, unitOf(hashOf(r.ask.session, id.value)));
+      if (!s.serving() || s.entry.role == Role::kDecode || key == 0) continue;
+      const double lot = std::max(1e-18, unitOf(hashOf(key, id.value)));
       const double place = -std::log(lot) / (s.entry.zone == set_.zone ? kNearHome : 1);
       if (place >= first) continue;
       first = place;
@@ -396,6 +402,17 @@
     return home;
   }
 
+  // A beginning that sessions share is kept best where all of them are read: their homes go by it, on as many
+  // readers as its part of the requests asks for.
+  std::uint64_t homeKey(const Request& r) const {
+    if (r.ask.prefix == 0) return r.ask.session;
+    const auto it = asked_.find(r.ask.prefix);
+    const double others = it == asked_.end() ? 0 : it->second.get(now_, kPopular) - 1;
+    const double part = others / (askedAll_.get(now_, kPopular) + kPopularPrior);
+    const double homes = 1 + kHomesSpread * part * pools_[static_cast<std::size_t>(Role::kPrefill)].servers;
+    return hashOf(r.ask.prefix, static_cast<std::uint64_t>(unitOf(hashOf(r.ask.session, 2)) * homes));
+  }
+
   // Tokens of a text that a server still keeps. They age: new text pushes old text out of its memory.
   double keptAt(std::uint64_t key, const Server& s) const {
     const auto it = key == 0 ? kept_.end() : kept_.find(key);
@@ -832,6 +849,8 @@
   std::map<RequestId, Request> requests_;
   std::set<std::pair<double, RequestId>> queue_;  // requests that wait here, tightest aim first
   std::vector<RequestId> ended_;
+  std::unordered_map<std::uint64_t, Fading> asked_;  // requests for each shared text; never walked
+  Fading askedAll_;
   std::unordered_map<std::uint64_t, std::vector<Kept>> kept_;  // never walked in its own order
   std::map<std::pair<std::uint32_t, int>, Learned> links_;  // a token's move, by reader's cell and link kind
   std::array<Pool, 4> pools_;                               // by role
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -108,6 +108,35 @@
   EXPECT_GE(std::unique(homes.begin(), homes.end()) - homes.begin(), 5) << "sessions spread over readers";
 }
 
+// Sessions that begin with one text are read where it is kept, on every node; a text that half of the
+// requests begin with has more than one home.
+TEST(Reader, SharedTextHasHomesByItsPartOfTheRequests) {
+  std::vector<ServerEntry> entries = {server(99, Role::kDecode)};
+  for (std::uint32_t id = 1; id <= 12; ++id) entries.push_back(server(id, Role::kPrefill));
+  Settings settings = twoStageSettings();
+  settings.nodes = 50;
+  Host one(settings), other(settings);
+  one.list(1, entries);
+  other.list(1, entries);
+  std::vector<std::uint32_t> hot;
+  for (std::uint64_t i = 1; i <= 40; ++i) {
+    const double at = 1 + 0.6 * static_cast<double>(i);
+    const bool rare = i % 2 == 0;  // each of these texts comes once
+    const RequestArrived r = ask("a", 1000, 1000 + i, rare ? 500 + i : 7, 900);
+    if (!rare) {
+      hot.push_back(serve(one, at, r));
+    } else {
+      RequestArrived again = r;
+      again.session = 2000 + i;
+      EXPECT_EQ(serve(one, at, r), serve(other, at, again)) << "a rare text has one home for all sessions";
+    }
+  }
+  std::sort(hot.begin(), hot.end());
+  const auto homes = std::unique(hot.begin(), hot.end()) - hot.begin();
+  EXPECT_GE(homes, 2);
+  EXPECT_LE(homes, 9);
+}
+
 TEST(Writer, PickedAfterTheReadInTheReadersCell) {
   Host host(twoStageSettings());
   host.list(1, {server(1, Role::kPrefill, 0), server(2, Role::kDecode, 1), server(3, Role::kDecode, 0)});
