Moves that do not come in time count in what a link is learned to take

Ruled out: full writers (their reports showed no queue), old reports (as frequent with reports under 1 s). Change: a silent attempt over a link counts with its time as what the link took, and blames no writer.

--- a/src/policy/policy.cpp
+++ b/src/policy/policy.cpp
@@ -742,6 +742,8 @@
       keep(r.ask.prefix, *s, r.ask.prefixTokens);
     }
     if (read || e.outcome == Outcome::kOk) return recovered(*s, r);
+    const bool silent = r.calledOff || e.outcome == Outcome::kTimeout;
+    if (silent && learnSlowLink(r, *s, sec(e.elapsed))) return;
     if (r.calledOff) return blame(*s, r, Outcome::kTimeout);
     const bool ours = e.outcome == Outcome::kCancelled || e.outcome == Outcome::kNotSent;
     if (!ours && e.outcome != Outcome::kStateLost) blame(*s, r, e.outcome);
@@ -767,6 +769,16 @@
     learn(links_[{reader->entry.cell, kind}], moved);
   }
 
+  // A state that does not come over a link in time tells of the link, which all readers of its cell share; to
+  // learn only from those that came made full links look quick, and blamed the writers that waited.
+  bool learnSlowLink(const Request& r, const Server& writer, double took) {
+    const Server* reader = find(r.reader);
+    if (r.stage != Stage::kWriting || reader == nullptr) return false;
+    const int kind = linkKind(*reader, writer);
+    if (kind > 0) learn(links_[{reader->entry.cell, kind}], took / (r.ask.promptTokens + 1));
+    return kind > 0;
+  }
+
   // ---- Health ----
   // Outlier ejection from symptoms: errors, refusals, silence and lost contact. A server may be ill for one
   // class or one tenant only, so each has its record, and the healthier of a request's two counts: neither do
