What a link takes is remembered for 30 s: racks differ by their layout

Cause: a node of 150 sends over one rack's link every half minute; learned over 8 s its figure had always faded to the prior, though a rack without writers stays one. Change: links have their own forgetting time, 30 s.

--- a/src/policy/policy.cpp
+++ b/src/policy/policy.cpp
@@ -34,13 +34,14 @@
 constexpr double kMissWeight = 1;         // what reading a token anew costs those who come after
 constexpr double kWaitPrior = 0.05;       // a writer's wait before the first token
 constexpr double kLinkPrior[] = {5e-6, 2e-5, 4e-5};  // a state's move, a token: cell, zone, beyond
-constexpr double kFarBias = 0.02;                    // prices of leaving the cell or the zone, as time
-constexpr double kKeepFor = 60;                      // ageing of the prefix table
-constexpr std::size_t kMostKept = 50000;             // its entries before old ones are dropped
-constexpr double kHomeKeeps = 0.75;     // share of a prompt taken to be kept at its session's home
-constexpr double kNearHome = 3;         // odds that a home lies in our zone, a server
-constexpr double kPopular = 60;         // how long a request counts for the popularity of its shared text
-constexpr double kPopularPrior = 4;     // requests for other texts that are taken as seen
+constexpr double kLinkForget = 30;
+constexpr double kFarBias = 0.02;         // prices of leaving the cell or the zone, as time
+constexpr double kKeepFor = 60;           // ageing of the prefix table
+constexpr std::size_t kMostKept = 50000;  // its entries before old ones are dropped
+constexpr double kHomeKeeps = 0.75;       // share of a prompt taken to be kept at its session's home
+constexpr double kNearHome = 3;           // odds that a home lies in our zone, a server
+constexpr double kPopular = 60;           // how long a request counts for the popularity of its shared text
+constexpr double kPopularPrior = 4;       // requests for other texts that are taken as seen
 constexpr double kHomesSpread = 1.5;    // homes of a shared text against its part of the requests, in readers
 constexpr double kMemoryPrior = 2e5;    // tokens, of a server that does not tell its memory
 constexpr double kLastResort = 100;     // cost of having a pure writer read
@@ -348,7 +349,9 @@
 
   double transferTime(const Server& from, int kind, double tokens) const {
     const auto it = links_.find({from.entry.cell, kind});
-    const double rate = it == links_.end() ? kLinkPrior[kind] : figure(it->second, kLinkPrior[kind]);
+    const double rate = it == links_.end()
+                            ? kLinkPrior[kind]
+                            : it->second.get(now_, kLinkPrior[kind], kLinkForget, kPriorWeight);
     return rate * tokens + kFarBias * kind;
   }
 
@@ -766,7 +769,7 @@
     const int kind = linkKind(*reader, s);
     if (kind == 0) return learnWait(s, took - transferTime(*reader, kind, r.ask.promptTokens));
     const double moved = std::max(0.0, took - figure(s.wait, waitPrior_)) / (r.ask.promptTokens + 1);
-    learn(links_[{reader->entry.cell, kind}], moved);
+    links_[{reader->entry.cell, kind}].add(moved, now_, kLinkForget, kMemory);
   }
 
   // A state that does not come over a link in time tells of the link, which all readers of its cell share; to
@@ -775,7 +778,8 @@
     const Server* reader = find(r.reader);
     if (r.stage != Stage::kWriting || reader == nullptr) return false;
     const int kind = linkKind(*reader, writer);
-    if (kind > 0) learn(links_[{reader->entry.cell, kind}], took / (r.ask.promptTokens + 1));
+    if (kind > 0)
+      links_[{reader->entry.cell, kind}].add(took / (r.ask.promptTokens + 1), now_, kLinkForget, kMemory);
     return kind > 0;
   }
 
