The reader picked is asked for its queue before the read is sent, where readers tell it

Readers report their queue there with each answer and to each probe, and the estimate did not use it; probes went to writers only. Ruled out: slots and memory of the readers' reports. Change: a report under 1.5 s old stands for the queue at a reader; without one the reader picked is probed first, at most two of them, the pick is made again, and no request waits longer than 10 ms for that. Tests for the second look and for a silent reader.

--- a/src/policy/policy.cpp
+++ b/src/policy/policy.cpp
@@ -63,8 +63,11 @@
 constexpr double kColdUnknown = 2;     // requests a window, of all nodes, that a cold server bears surely
 constexpr double kColdMemory = 60;     // how long the most that servers took is remembered
 constexpr double kColdSafety = 0.6;    // share of the cold budget that is used
+constexpr int kMostLooks = 2;          // readers that a request may ask for their queue
+constexpr double kLookTime = 0.01;     // how long it waits for the answer
+constexpr double kFreshPrior = 1000;   // tokens of a prompt that must be read
 constexpr double kProbeOften = 0.4;    // a server is probed no more often than this
-constexpr double kProbeBudget = 0.004;  // result that probing may cost
+constexpr double kProbeBudget = 0.004;  // result that asking writers may cost, and readers that tell queues
 constexpr double kMostProbes = 4;       // probes that may be saved up
 constexpr char kAskTimer[] = "ask";
 constexpr double kAskAgain = 0.7;  // pause after a failed discovery call
@@ -133,7 +136,8 @@
     if (ask.tenant) r.parts.push_back(-1 - static_cast<int>(*ask.tenant));
     learn(meanPrompt_, ask.promptTokens);
     for (Fading* count : {&asked_[ask.prefix], &askedAll_}) count->set(count->get(now_, kPopular) + 1, now_);
-    if (set_.probePrice > 0) probes_ = std::min(kMostProbes, probes_ + kProbeBudget / set_.probePrice);
+    if (set_.probePrice > 0)
+      probes_ = std::min(kMostProbes, probes_ + kProbeBudget * (tellQueues_ ? 2 : 1) / set_.probePrice);
     if (now_ + margin() >= r.deadline) return finish(r);  // too late for anything but an answer
     enqueue(r);
   }
@@ -179,6 +183,7 @@
 
   void on(const ProbeEnded& e) {
     learnReport(e.server, e.load);
+    drainQueue();
     Server* s = find(e.server);
     // A probe that waits too long may only stand in a queue; one that cannot connect is a sign of illness.
     if (s != nullptr && e.outcome == Outcome::kConnectFailed) worsen(s->contact, 2);
@@ -261,11 +266,11 @@
     }
   }
 
-  // Probes serve the load reports. What they may cost is saved up by the request: first come the writers that
-  // a read in hand would go to, what is left looks round.
+  // Probes serve the load reports. What they may cost is saved up by the request: first come the readers that
+  // it would go to and the writers that its read would, what is left looks round.
   void probeServers() {
     for (auto& [id, s] : servers_) {
-      if (probes_ >= kMostProbes / 2) probe(s);
+      if (probes_ >= kMostProbes / 2 && s.writes()) probe(s);
     }
   }
 
@@ -274,7 +279,7 @@
   }
 
   void probe(Server& s) {
-    if (!mayProbe() || !s.serving() || s.reads() || now_ < s.nextProbe) return;
+    if (!mayProbe() || !s.serving() || now_ < s.nextProbe) return;
     if (set_.probePrice > 0) probes_ -= 1;
     s.nextProbe = now_ + kProbeOften;
     act(Probe{s.entry.id});
@@ -327,7 +332,12 @@
 
   double readTime(const Server& s, double tokens) const {
     const double weight = ownWeight(pool(s).queued), all = s.queuedTokens * (1 + (set_.nodes - 1) * weight);
-    return readRate(s) * (all + tokens + kReadFloorTokens) + (1 - weight) * figure(s.wait, queuePrior_);
+    const double mine = tokens + kReadFloorTokens;
+    if (now_ - s.reportAt < kRecent && s.report.queued) {  // it has just told what all nodes have there
+      const double told = *s.report.queued * (figure(meanFresh_, kFreshPrior) + kReadFloorTokens);
+      return readRate(s) * (std::max(s.queuedTokens, told) + mine);
+    }
+    return readRate(s) * (all + mine) + (1 - weight) * figure(s.wait, queuePrior_);
   }
 
   // What all nodes have at a server, from our own part of it. The less of it there is, the less it tells, and
@@ -602,7 +612,10 @@
       if (now_ + plan.time >= r.deadline || r.sends + (plan.whole ? 1 : 2) > set_.maxAttempts)
         return finish(r), true;
       const double most = kLetIn * (r.aimAt - r.arrived) * (r.overShare ? kOverShareRoom : 1);
-      if (plan.time + plan.onward <= most) return sendRead(r, plan), true;
+      if (plan.time + plan.onward <= most) {
+        if (looksFirst(r, *plan.server)) return false;
+        return sendRead(r, plan), true;
+      }
     }
     // Long queues at readers push out the text they keep and so slow them further. Waiting here costs no
     // server anything, but what cannot come in time is refused early.
@@ -610,6 +623,19 @@
     return finish(r), true;
   }
 
+  // With many nodes the most of a reader's queue is others'. Where readers tell it, the one picked is asked
+  // before the read is sent, and the pick made again with what it said; a request waits that long here.
+  bool looksFirst(Request& r, Server& s) {
+    if (now_ - s.reportAt < kRecent) return false;
+    if (r.lookedAt == s.entry.id && now_ < r.lookUntil) return true;
+    if (r.looks >= kMostLooks || !tellQueues_ || !mayProbe() || now_ < s.nextProbe) return false;
+    probe(s);
+    ++r.looks;
+    r.lookedAt = s.entry.id;
+    r.lookUntil = now_ + kLookTime;
+    return true;
+  }
+
   void sendRead(Request& r, const Plan& plan) {
     Server& s = *plan.server;
     r.readTokens = r.ask.promptTokens - plan.kept + kReadFloorTokens;
@@ -725,6 +751,7 @@
     Server* s = find(id);
     if (s == nullptr || !load) return;
     s->report = *load;
+    tellQueues_ = tellQueues_ || load->queued;
     s->reportAt = now_;
   }
 
@@ -735,6 +762,7 @@
     if (read) {
       learn(usual_[0], sec(e.elapsed));
       const double fresh = r.ask.promptTokens - e.keptTokens;
+      learn(meanFresh_, fresh);
       if (s->reads()) learnWait(*s, sec(e.elapsed) - readRate(*s) * (fresh + kReadFloorTokens));
       const double cost = sec(e.elapsed) / (fresh + kReadFloorTokens);
       readCosts_.add(cost, now_);
@@ -859,7 +887,7 @@
   Settings set_;
   std::uint64_t random_;
   double now_ = 0, shortestAim_ = 1e9;
-  bool started_ = false;
+  bool started_ = false, tellQueues_ = false;
   std::vector<Action>* out_ = nullptr;
   std::map<ServerId, Server> servers_;
   std::map<RequestId, Request> requests_;
@@ -872,7 +900,7 @@
   std::array<Pool, 4> pools_;                               // by role
   double probes_ = 1;                                       // that may be sent now
   std::vector<std::pair<double, double>> buckets_;          // for each tenant: requests in hand, and when
-  Learned meanPrompt_;
+  Learned meanPrompt_, meanFresh_;
   Learned usual_[2];             // time that reads, and writers' first tokens, took lately
   Recent readCosts_, waits_[2];  // a token's reading; waits at readers and at writers
   double readBase_ = kReadPrior, readPrior_ = kReadPrior, waitPrior_ = kWaitPrior, queuePrior_ = 0;
--- a/src/policy/records.h
+++ b/src/policy/records.h
@@ -50,6 +50,9 @@
   bool out = false, whole = false, calledOff = false;  // an attempt is out, reads and writes, was cancelled
   ServerId server, reader;                             // of the last attempt; where the state waits
   double sentAt = 0, expected = 0, heldSince = 0;
+  int looks = 0;                    // readers asked for their queue
+  ServerId lookedAt;                // the last of them
+  double lookUntil = -1;            // and how long to wait for its answer
   double readTokens = 0, need = 0;  // to read; of a writer's memory
   bool mayHaveRun = false;          // some attempt may have had its effect; the first was sent then and there
   double firstRunAt = 0;
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -329,6 +329,46 @@
   EXPECT_LE(probes, 18U) << "0.4 a request, and one to begin with";
 }
 
+// The most of a reader's queue is other nodes': where readers tell it, the one picked is asked before the
+// send.
+TEST(Probes, AskTheReaderForItsQueueBeforeTheSend) {
+  Settings settings = twoStageSettings();
+  settings.nodes = 100;
+  settings.probesAllowed = true;
+  settings.reporting = Reporting::kAnswers;
+  Host host(settings);
+  host.list(1, {server(1, Role::kPrefill), server(2, Role::kPrefill), server(3, Role::kDecode)});
+  LoadReport idle;
+  idle.queued = 0;
+  host.feed(1.01, ProbeEnded{{3}, Outcome::kOk, Duration(0.001), idle});  // queues are told here
+  host.request(1.1, "a");
+  ASSERT_TRUE(only<Send>(host.last).empty());
+  ASSERT_EQ(only<Probe>(host.last).size(), 1U);
+  const std::uint32_t first = only<Probe>(host.last)[0].server.value;
+  LoadReport jammed;
+  jammed.queued = 4;
+  host.feed(1.102, ProbeEnded{{first}, Outcome::kOk, Duration(0.001), jammed});
+  ASSERT_EQ(only<Probe>(host.last).size(), 1U) << "the other one looks better now and is asked too";
+  EXPECT_EQ(sentTo(host.feed(1.104, ProbeEnded{{3 - first}, Outcome::kOk, Duration(0.001), idle})),
+            3 - first);
+  host.request(1.2, "b");
+  EXPECT_EQ(sentTo(host.last), 3 - first) << "what is known is not asked again";
+}
+
+TEST(Probes, SilentReaderHoldsNobodyUp) {
+  Settings settings = twoStageSettings();
+  settings.probesAllowed = true;
+  settings.reporting = Reporting::kAnswers;
+  Host host(settings);
+  host.list(1, {server(1, Role::kPrefill), server(3, Role::kDecode)});
+  LoadReport idle;
+  idle.queued = 0;
+  host.feed(1.01, ProbeEnded{{3}, Outcome::kOk, Duration(0.001), idle});
+  host.request(1.1, "a");
+  ASSERT_TRUE(only<Send>(host.last).empty());
+  EXPECT_EQ(only<Send>(host.run(1.15)).size(), 1U);
+}
+
 TEST(Overload, DeepQueueHoldsRequestsHereAndThenRefuses) {
   Host host(twoStageSettings());
   host.list(1, {server(1, Role::kPrefill), server(2, Role::kDecode)});
