--- a/src/policy/policy.cpp
+++ b/src/policy/policy.cpp
@@ -131,7 +131,7 @@
     r.deadline = now_ + sec(ask.timeLeft);
     r.aimAt = std::min(r.deadline, now_ + sec(c.aim) + sec(c.aimPerToken) * ask.promptTokens);
     r.need = ask.promptTokens + expectedOutput(r);
-    r.overShare = !withinShare(ask);
+    r.overShare = !withinShare(ask) || ask.isRetry;
     r.parts = {static_cast<int>(ask.classIndex)};
     if (ask.tenant) r.parts.push_back(-1 - static_cast<int>(*ask.tenant));
     learn(meanPrompt_, ask.promptTokens);
