A class fills queues no further than the aim of a class worth more

Change: roomOf: the room of a request is its own aim, or that of a class worth more where that is tighter. At the other two the class worth more has the longer aim: unchanged.

--- a/src/policy/policy.cpp
+++ b/src/policy/policy.cpp
@@ -611,7 +611,7 @@
     if (plan.server != nullptr) {
       if (now_ + plan.time >= r.deadline || r.sends + (plan.whole ? 1 : 2) > set_.maxAttempts)
         return finish(r), true;
-      const double most = kLetIn * (r.aimAt - r.arrived) * (r.overShare ? kOverShareRoom : 1);
+      const double most = kLetIn * roomOf(r) * (r.overShare ? kOverShareRoom : 1);
       if (plan.time + plan.onward <= most) {
         if (looksFirst(r, *plan.server)) return false;
         return sendRead(r, plan), true;
@@ -623,6 +623,15 @@
     return finish(r), true;
   }
 
+  // The aim that a request may fill queues up to: its own, and no more than that of a class worth more.
+  double roomOf(const Request& r) const {
+    double least = r.aimAt - r.arrived;
+    for (const ClassSettings& c : set_.classes) {
+      if (c.worth > classOf(r).worth) least = std::min(least, sec(c.aim) + sec(c.aimPerToken) * r.ask.promptTokens);
+    }
+    return least;
+  }
+
   // With many nodes the most of a reader's queue is others'. Where readers tell it, the one picked is asked
   // before the read is sent, and the pick made again with what it said; a request waits that long here.
   bool looksFirst(Request& r, Server& s) {
