--- a/src/policy/policy.cpp
+++ b/src/policy/policy.cpp
@@ -48,6 +48,10 @@
 constexpr int kMostHeldTried = 16;      // requests that may stay before a pass over our queue ends
 constexpr double kNearlyFull = 1.0;     // a writer's memory share from which it yields
 constexpr double kYieldShare = 0.3;     // cost of a writer that should yield, of the shortest aim
+constexpr double kPaceMemory = 10;      // seconds of streams that a writer's pace is judged by
+constexpr double kPacePrior = 4;        // streams of the usual length that are taken as seen
+constexpr double kPaceStep = 0.05;      // how far one answer moves what is usual for its class
+constexpr double kSlowPace = 3;         // a writer whose streams last this much longer than usual is slow
 constexpr double kLetIn = 0.5;          // of its aim that a first token may be expected to take to be let in
 constexpr double kOverShareRoom = 0.4;  // ... and of that, for those beyond their tenant's share
 constexpr double kShareSpan = 4;        // seconds of its share that a tenant may ask for at once
@@ -79,6 +83,7 @@
 class Policy::Impl {
  public:
   explicit Impl(Settings settings) : set_(std::move(settings)), random_(set_.seed) {
+    streamTime_.resize(set_.classes.size());
     for (const ClassSettings& c : set_.classes) shortestAim_ = std::min(shortestAim_, sec(c.aim));
     for (const TenantSettings& t : set_.tenants)
       buckets_.push_back({shareDepth(t.quotaPerSecond / set_.nodes), 0});
@@ -148,6 +153,7 @@
     if (it == requests_.end() || !it->second.out) return;
     Request& r = it->second;
     learnOutcome(r, e);
+    if (r.stage == Stage::kStreaming && e.outcome == Outcome::kOk) learnStream(r, servers_[e.server]);
     closeAttempt(r);
     if (e.requestOver || r.answered) {
       // A state that came after the end, or one left by a failed attempt, must not stay pinned.
@@ -177,6 +183,7 @@
     (r.stage == Stage::kReading ? s.reading : s.waiting) -= 1;
     s.streaming += 1;
     r.stage = Stage::kStreaming;
+    r.streamAt = now_;
     served(s, r);
     recovered(s, r);
   }
@@ -220,6 +227,7 @@
   void watchRequests() {
     for (auto& [id, s] : servers_) s.overdue = 0;
     for (auto& [id, r] : requests_) {
+      if (r.stage == Stage::kStreaming) watchStream(r);
       if (r.answered || r.stage == Stage::kStreaming) continue;
       if (now_ + margin() >= r.deadline) {
         finish(r);
@@ -235,6 +243,27 @@
     }
   }
 
+  // How long a writer's streams last against what is usual, running ones too: time streamed over answers
+  // ended. Guards against writers that age or share their machine: their first tokens still come in time.
+  double pace(const Server& s) const {
+    return (s.streamed.get(now_, kPaceMemory) + kPacePrior) /
+           (s.finished.get(now_, kPaceMemory) + kPacePrior);
+  }
+
+  void watchStream(const Request& r) {
+    const double usual = streamTime_[r.ask.classIndex];
+    Fading& streamed = servers_[r.server].streamed;
+    if (usual > 0) streamed.set(streamed.get(now_, kPaceMemory) + kSweep / usual, now_);
+  }
+
+  // What is usual follows the median, so that a few slow writers do not become it.
+  void learnStream(const Request& r, Server& s) {
+    double& usual = streamTime_[r.ask.classIndex];
+    const double took = now_ - r.streamAt;
+    usual = usual <= 0 ? took : usual * (1 + (took < usual ? -kPaceStep : kPaceStep));
+    s.finished.set(s.finished.get(now_, kPaceMemory) + 1, now_);
+  }
+
   double margin() const { return kSweep + 2 * sec(set_.tick) + 0.002; }
 
   // How long an attempt may take before its server counts as silent; in a jam all of them take long.
@@ -380,6 +409,7 @@
     const bool queues = fresh(s) && s.report.queued.value_or(0) >= 1;
     double wait = figure(s.wait, waitPrior_) * (0.5 + s.score) + ill(s, r);
     if (after > kNearlyFull || queues) wait += kYieldShare * shortestAim_;
+    wait += kYieldShare * shortestAim_ * std::max(0.0, pace(s) - kSlowPace);
     return wait + 3 * std::max(0.0, after - kNearlyFull);
   }
 
@@ -627,7 +657,8 @@
   double roomOf(const Request& r) const {
     double least = r.aimAt - r.arrived;
     for (const ClassSettings& c : set_.classes) {
-      if (c.worth > classOf(r).worth) least = std::min(least, sec(c.aim) + sec(c.aimPerToken) * r.ask.promptTokens);
+      if (c.worth > classOf(r).worth)
+        least = std::min(least, sec(c.aim) + sec(c.aimPerToken) * r.ask.promptTokens);
     }
     return least;
   }
@@ -909,6 +940,7 @@
   std::array<Pool, 4> pools_;                               // by role
   double probes_ = 1;                                       // that may be sent now
   std::vector<std::pair<double, double>> buckets_;          // for each tenant: requests in hand, and when
+  std::vector<double> streamTime_;  // what a class's streams usually last; 0 = not known
   Learned meanPrompt_, meanFresh_;
   Learned usual_[2];             // time that reads, and writers' first tokens, took lately
   Recent readCosts_, waits_[2];  // a token's reading; waits at readers and at writers
--- a/src/policy/records.h
+++ b/src/policy/records.h
@@ -19,6 +19,7 @@
   Learned readCost, wait;
   double overdue = 0;             // how far its oldest unanswered attempt is past what was expected
   double answeredAt = -1e9;       // when it last finished a read or began an answer
+  Fading streamed, finished;      // of streams: time, in usual lengths; answers that ended
   Fading recent;                  // tokens sent to it lately: not in its reports yet
   Fading contact;                 // connections that failed or broke
   std::map<int, Fading> illness;  // by class (from 0) and tenant (below 0)
@@ -49,7 +50,7 @@
   int sends = 0, timeouts = 0, writerFailures = 0;
   bool out = false, whole = false, calledOff = false;  // an attempt is out, reads and writes, was cancelled
   ServerId server, reader;                             // of the last attempt; where the state waits
-  double sentAt = 0, expected = 0, heldSince = 0;
+  double sentAt = 0, expected = 0, heldSince = 0, streamAt = 0;
   int looks = 0;                    // readers asked for their queue
   ServerId lookedAt;                // the last of them
   double lookUntil = -1;            // and how long to wait for its answer
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -166,6 +166,25 @@
   EXPECT_EQ(sentTo(host.ended(1.2, "a", 1, Outcome::kPrefilled)), 2U);
 }
 
+// A writer that ages still gives first tokens in time; that its streams do not end tells.
+TEST(Writer, WhoseStreamsDoNotEndYields) {
+  Host host(twoStageSettings());
+  host.list(1, {server(1, Role::kPrefill), server(2, Role::kDecode), server(3, Role::kDecode)});
+  double at = 1.1;
+  int toSlow = 0, toOther = 0;
+  for (int i = 0; i < 60; ++i, at += 0.4) {
+    const std::string id = "s" + std::to_string(i);
+    const std::uint32_t reader = sentTo(host.request(at, id, 200));
+    const std::uint32_t writer = sentTo(host.ended(at + 0.02, id, reader, Outcome::kPrefilled));
+    host.streams(at + 0.04, id, writer);
+    if (writer == 3) host.ended(at + 0.3, id, writer, Outcome::kOk, true);  // those of writer 2 never end
+    host.run(at + 0.39);
+    if (i >= 30) (writer == 2 ? toSlow : toOther) += 1;
+  }
+  EXPECT_LE(toSlow, 2);
+  EXPECT_GE(toOther, 28);
+}
+
 TEST(Mixed, TakesARequestWholeAndReadersServePureWriters) {
   Host host(twoStageSettings());
   host.list(1, {server(1, Role::kMixed)});
