The move in service: classes, tenants, limits and engines' settings change by a reload, and back

Need: operators move a running node to another shape of deployment and want the way back by the same step. A reload refused whatever the module was told at its start, and a class was its place in the file: a reload that changed the list could have finished an unsafe request under a safe class. Change: SettingsChanged for the module, Core::reconfigure, Recovery::takeClasses; config/in_service keeps the place of a class for as long as the node runs, so what was taken is finished under the class that it came with, and the old file finds its old places. A place that would come to mean another class is refused, naming rule 2. Each changed setting is logged. Measured: tests of module, core, settings, node and daemon pass under ASan and UBSan on loopback; with an unsafe order in flight across the reload it is failed once and never sent again, and a booking taken before the way back is served.

--- a/cmake/Program.cmake
+++ b/cmake/Program.cmake
@@ -25,7 +25,8 @@
 gannetcourse_room(http2 SOURCES src/http2/session.cpp LINK gannetcourse_net PkgConfig::NGHTTP2)
 gannetcourse_room(grpc SOURCES src/grpc/protocol.cpp src/grpc/server.cpp src/grpc/channel.cpp
                   LINK gannetcourse_http2)
-gannetcourse_room(config SOURCES src/config/xml.cpp src/config/settings.cpp LINK gannetcourse_net LibXml2::LibXml2)
+gannetcourse_room(config SOURCES src/config/xml.cpp src/config/settings.cpp src/config/in_service.cpp
+                  LINK gannetcourse_net LibXml2::LibXml2)
 gannetcourse_room(resume SOURCES src/resume/seal.cpp LINK gannetcourse_config OpenSSL::Crypto)
 gannetcourse_schema(gannetcourse_config ${PROJECT_SOURCE_DIR}/src/config/settings.xsd gannetcourse::config
                     settingsSchema)
--- a/include/gannetcourse/policy.h
+++ b/include/gannetcourse/policy.h
@@ -40,14 +40,16 @@
   Effect effect = Effect::kSafe;
   DedupGroup group = DedupGroup::kAll;
   Duration dedupWindow{0};  // for how long repeats are dropped
+  bool inService = true;    // false: what was taken of it is finished, nothing new comes
 };
 
 struct TenantSettings {
   double share = 0;           // of the service
   double quotaPerSecond = 0;  // requests within its share over all nodes; 0 = not known
+  bool inService = true;      // false: nothing new comes of it
 };
 
-// What a node is told at its start. All that the module knows beforehand.
+// What a node is told at its start, and by SettingsChanged. All that the module knows beforehand.
 struct Settings {
   std::uint64_t seed = 0;  // for its random numbers
   int nodes = 1;           // routers like this one
@@ -157,8 +159,13 @@
 struct ClientGone {
   RequestId id;
 };
+// New settings for a running node. Classes and tenants stay at their places, more may follow them; a class
+// keeps its effect, group and window there. The seed and the zone stay as they were.
+struct SettingsChanged {
+  Settings settings;
+};
 using Event = std::variant<ServerList, RequestArrived, AttemptEnded, StreamStarted, ProbeEnded, HoldAnswered,
-                           TimerFired, ClientGone>;
+                           TimerFired, ClientGone, SettingsChanged>;
 
 // ---- Actions ----
 struct Send {  // attempts of a request are numbered from 0 in this order
--- a/include/gannetcourse/recovery.h
+++ b/include/gannetcourse/recovery.h
@@ -78,6 +78,8 @@
 class Recovery {
  public:
   explicit Recovery(Limits limits);
+  // Classes of before stay at their places with their effects; more may follow. The rest as at the start.
+  void takeClasses(std::vector<Effect> effects, std::vector<double> worths, int maxAttempts);
 
   // Whether streams of this class are ever continued, so that their text is worth keeping.
   bool continues(std::size_t classIndex) const;
--- a/include/gannetcourse/router.h
+++ b/include/gannetcourse/router.h
@@ -171,8 +171,12 @@
                   const std::optional<LoadReport>& load);
   void seatAnswered(Instant now, RequestKey request, ServerId engine, bool held);
   void paused(Instant now, RequestKey request, bool paused);  // its client takes nothing for now
-  void drain(Instant now);                                    // from now on what arrives is refused
-  void advance(Instant now);                                  // does what has come due
+  // New settings in service; see SettingsChanged. Requests that are open stay open, with their attempts and
+  // what is held for them. Throws std::invalid_argument where a class or tenant of before is missing or has
+  // another effect; then nothing has changed.
+  void reconfigure(Instant now, const Settings& settings);
+  void drain(Instant now);    // from now on what arrives is refused
+  void advance(Instant now);  // does what has come due
 
   std::optional<Instant> nextWake() const;
   // Commands since the last call.
--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <set>
 
+#include "config/in_service.h"
 #include "net/connection.h"
 
 namespace gannetcourse::config {
@@ -255,6 +256,39 @@
   return text;
 }
 
+std::string number(double value) {
+  std::string text = std::to_string(value);
+  text.erase(text.find_last_not_of('0') + 1);
+  if (text.back() == '.') text.pop_back();
+  return text;
+}
+
+std::string classText(const std::string& name, const ClassSettings& c) {
+  static constexpr const char* kEffects[] = {"safe", "keyed", "unsafe"};
+  static constexpr const char* kGroups[] = {"all", "zone", "cell"};
+  std::string text = name + " (aim " + formatDuration(c.aim) + " + " + formatDuration(c.aimPerToken * 1000) +
+                     " per 1000 tokens, token-aim " + formatDuration(c.tokenAim) + ", worth " +
+                     number(c.worth) + ", late-worth " + number(c.lateWorth) + ", " +
+                     kEffects[static_cast<int>(c.effect)];
+  if (c.effect == Effect::kKeyed)
+    text +=
+        std::string(" by ") + kGroups[static_cast<int>(c.group)] + " for " + formatDuration(c.dedupWindow);
+  return text + ") ";
+}
+
+std::string coldText(const Settings& p) {
+  return "start-capacity " + number(p.coldStartCapacity) + ", warm-after " + formatDuration(p.coldWarmAfter) +
+         ", overload-factor " + number(p.coldOverloadFactor) + ", window " + formatDuration(p.coldWindow);
+}
+
+std::string engineText(const Settings& p) {
+  static constexpr const char* kReports[] = {"none", "answers", "probes"};
+  return std::string("reports ") + kReports[static_cast<int>(p.reporting)] + ", probes " +
+         (p.probesAllowed ? "true" : "false") + ", probe-price " + number(p.probePrice) + ", reserve " +
+         (p.reserveAllowed ? "true" : "false") + ", decode-may-prefill " +
+         (p.decodeMayPrefill ? "true" : "false");
+}
+
 struct Line {
   const char* name;
   std::string (*value)(const NodeSettings&);
@@ -276,23 +310,42 @@
       {"listen stream-buffer", [](const NodeSettings& s) { return std::to_string(s.streamBuffer); }, false},
       {"limits longest-deadline", [](const NodeSettings& s) { return formatDuration(s.longestDeadline); },
        false},
+      {"node nodes", [](const NodeSettings& s) { return std::to_string(s.policy.nodes); }, false},
+      {"zones",
+       [](const NodeSettings& s) {
+         std::string all;
+         for (const auto& zone : s.zones) all += zone + ' ';
+         return all;
+       },
+       false},
       {"classes",
        [](const NodeSettings& s) {
          std::string all;
-         for (const auto& c : s.classes) all += c.name + ' ';
+         for (std::size_t i = 0; i < s.classes.size(); ++i) {
+           if (s.policy.classes[i].inService) all += classText(s.classes[i].name, s.policy.classes[i]);
+         }
          return all;
        },
-       true},
+       false},
       {"tenants",
        [](const NodeSettings& s) {
          std::string all;
-         for (const auto& t : s.tenants) all += t + ' ';
+         for (std::size_t i = 0; i < s.tenants.size(); ++i) {
+           const TenantSettings& t = s.policy.tenants[i];
+           if (t.inService)
+             all +=
+                 s.tenants[i] + " (share " + number(t.share) + ", quota " + number(t.quotaPerSecond) + ") ";
+         }
          return all;
        },
-       true},
+       false},
       {"limits max-attempts", [](const NodeSettings& s) { return std::to_string(s.policy.maxAttempts); },
-       true},
-      {"limits pin-limit", [](const NodeSettings& s) { return formatDuration(s.policy.pinLimit); }, true},
+       false},
+      {"limits pin-limit", [](const NodeSettings& s) { return formatDuration(s.policy.pinLimit); }, false},
+      {"limits max-retry-after", [](const NodeSettings& s) { return formatDuration(s.policy.maxRetryAfter); },
+       false},
+      {"cold-start", [](const NodeSettings& s) { return coldText(s.policy); }, false},
+      {"engines", [](const NodeSettings& s) { return engineText(s.policy); }, false},
       {"limits answer-margin", [](const NodeSettings& s) { return formatDuration(s.answerMargin); }, true},
       {"engines connect-timeout", [](const NodeSettings& s) { return formatDuration(s.connectTimeout); },
        true},
@@ -318,8 +371,10 @@
     const std::string was = line.value(before), is = line.value(after);
     if (was != is) found.push_back(std::string(line.name) + ": " + was + " -> " + is);
   }
-  for (std::size_t i = 0; i < std::min(before.classes.size(), after.classes.size()); ++i) {
-    const ClassLimits &was = before.classes[i], &is = after.classes[i];
+  for (std::size_t i = 0; i < after.classes.size(); ++i) {
+    const auto at = classInService(before, after.classes[i].name);
+    if (!at || !after.policy.classes[i].inService) continue;
+    const ClassLimits &was = before.classes[*at], &is = after.classes[i];
     const std::string name = "class " + is.name;
     if (was.maxPromptTokens != is.maxPromptTokens)
       found.push_back(name + " max-prompt-tokens: " + std::to_string(was.maxPromptTokens) + " -> " +
--- a/src/discovery/engine_list.h
+++ b/src/discovery/engine_list.h
@@ -34,6 +34,7 @@
 class Translator {
  public:
   Translator(std::vector<std::string> zones, Instant now, std::int64_t unixMsNow);
+  void take(std::vector<std::string> zones) { zones_ = std::move(zones); }  // those of before at their places
   std::uint32_t zone(const std::string& name) const;          // an unknown zone is apart from all others
   std::optional<Instant> instant(std::int64_t unixMs) const;  // 0 = none
   void complete(Engine& engine) const;                        // fills in what the names and times stand for
--- a/src/fronts/chat.cpp
+++ b/src/fronts/chat.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <cmath>
 
+#include "config/in_service.h"
 #include "gannetcourse/v1/chat.pb.h"
 #include "gannetcourse/v1/resume.pb.h"
 
@@ -108,7 +109,7 @@
       : settings_(settings), sealer_(sealer), ask_(ask) {}
 
   std::optional<grpc::Status> check(Duration timeLeft, router::Arrival& arrival) const {
-    const auto classAt = classIndex();
+    const auto classAt = config::classInService(settings_, ask_.request_class());
     if (!classAt) return invalid("request_class: '" + ask_.request_class() + "' is not a class of this node");
     const config::ClassLimits& limits = settings_.classes[*classAt];
     if (auto fault = checkTenant(arrival)) return fault;
@@ -127,21 +128,12 @@
   }
 
  private:
-  std::optional<std::size_t> classIndex() const {
-    const auto& classes = settings_.classes;
-    const auto at = std::find_if(classes.begin(), classes.end(), [&](const config::ClassLimits& c) {
-      return c.name == ask_.request_class();
-    });
-    if (at == classes.end()) return std::nullopt;
-    return static_cast<std::size_t>(at - classes.begin());
-  }
-
   std::optional<grpc::Status> checkTenant(router::Arrival& arrival) const {
-    const auto& tenants = settings_.tenants;
-    if (tenants.empty() && ask_.tenant().empty()) return std::nullopt;
-    const auto at = std::find(tenants.begin(), tenants.end(), ask_.tenant());
-    if (at == tenants.end()) return invalid("tenant: '" + ask_.tenant() + "' is not a tenant of this node");
-    arrival.tenant = static_cast<std::size_t>(at - tenants.begin());
+    const auto& tenants = settings_.policy.tenants;
+    const bool none = std::none_of(tenants.begin(), tenants.end(), [](const auto& t) { return t.inService; });
+    if (none && ask_.tenant().empty()) return std::nullopt;
+    arrival.tenant = config::tenantInService(settings_, ask_.tenant());
+    if (!arrival.tenant) return invalid("tenant: '" + ask_.tenant() + "' is not a tenant of this node");
     return std::nullopt;
   }
 
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -4,6 +4,7 @@
 #include <stdexcept>
 #include <utility>
 
+#include "config/in_service.h"
 #include "fronts/chat.h"
 
 namespace gannetcourse::node {
@@ -115,15 +116,19 @@
   const std::string fixed = config::fixedDifference(settings_, settings);
   if (!fixed.empty())
     throw std::invalid_argument("'" + fixed + "' changes only with a restart; nothing was changed");
-  resume::Sealer sealer = sealerOf(settings);
+  config::NodeSettings fresh = config::carriedOver(settings_, settings);
+  resume::Sealer sealer = sealerOf(fresh);
+  discovery::Translator translator = translator_;
+  translator.take(fresh.zones);
   std::optional<discovery::EngineList> list;
-  if (!settings.fleetFile.empty()) list = discovery::loadFleetFile(settings.fleetFile, translator_);
+  if (!fresh.fleetFile.empty()) list = discovery::loadFleetFile(fresh.fleetFile, translator);
   for (const std::string& line : config::differences(settings_, settings)) log("config", "info", line);
   sealer_ = std::move(sealer);
-  const Settings policy = settings_.policy;
-  settings_ = settings;
-  settings_.policy = policy;  // the module was told these at its start
+  translator_ = std::move(translator);
+  settings_ = std::move(fresh);
+  core_.reconfigure(loop_.now(), policySettings(settings_));
   if (list) takeList(*list);
+  run();
 }
 
 void Node::drain(std::function<void()> done) {
--- a/src/policy/policy.cpp
+++ b/src/policy/policy.cpp
@@ -82,12 +82,7 @@
 
 class Policy::Impl {
  public:
-  explicit Impl(Settings settings) : set_(std::move(settings)), random_(set_.seed) {
-    streamTime_.resize(set_.classes.size());
-    for (const ClassSettings& c : set_.classes) shortestAim_ = std::min(shortestAim_, sec(c.aim));
-    for (const TenantSettings& t : set_.tenants)
-      buckets_.push_back({shareDepth(t.quotaPerSecond / set_.nodes), 0});
-  }
+  explicit Impl(Settings settings) : set_(std::move(settings)), random_(set_.seed) { takeSettings(); }
 
   void handle(Instant now, const Event& event, std::vector<Action>& actions) {
     now_ = now.time_since_epoch().count();
@@ -204,6 +199,24 @@
     if (it != requests_.end() && !it->second.answered) letGo(it->second);
   }
 
+  // All that was learned goes on; what is taken is finished under its class's old place.
+  void on(const SettingsChanged& e) {
+    const std::uint32_t zone = set_.zone;
+    set_ = e.settings;
+    set_.zone = zone;
+    takeSettings();
+  }
+
+  void takeSettings() {
+    shortestAim_ = 1e9;
+    for (const ClassSettings& c : set_.classes) {
+      if (c.inService) shortestAim_ = std::min(shortestAim_, sec(c.aim));
+    }
+    streamTime_.resize(set_.classes.size());
+    for (std::size_t i = buckets_.size(); i < set_.tenants.size(); ++i)
+      buckets_.push_back({shareDepth(set_.tenants[i].quotaPerSecond / set_.nodes), now_});
+  }
+
   // ---- Housekeeping ----
   void sweep() {
     act(SetTimer{Instant(Duration(now_ + kSweep)), "sweep"});
@@ -657,7 +670,7 @@
   double roomOf(const Request& r) const {
     double least = r.aimAt - r.arrived;
     for (const ClassSettings& c : set_.classes) {
-      if (c.worth > classOf(r).worth)
+      if (c.inService && c.worth > classOf(r).worth)
         least = std::min(least, sec(c.aim) + sec(c.aimPerToken) * r.ask.promptTokens);
     }
     return least;
--- a/src/recovery/recovery.cpp
+++ b/src/recovery/recovery.cpp
@@ -22,6 +22,12 @@
 
 Recovery::Recovery(Limits limits) : limits_(std::move(limits)), budget_(limits_.rebuildBurst) {}
 
+void Recovery::takeClasses(std::vector<Effect> effects, std::vector<double> worths, int maxAttempts) {
+  limits_.effects = std::move(effects);
+  limits_.worths = std::move(worths);
+  limits_.maxAttempts = maxAttempts;
+}
+
 bool Recovery::continues(std::size_t classIndex) const {
   return limits_.enabled && classIndex < limits_.effects.size() &&
          limits_.effects[classIndex] == Effect::kSafe;
--- a/src/router/core.cpp
+++ b/src/router/core.cpp
@@ -1,5 +1,6 @@
 #include <algorithm>
 #include <deque>
+#include <stdexcept>
 #include <unordered_map>
 #include <utility>
 
@@ -77,9 +78,18 @@
   Impl(const Settings& settings, Options options)
       : policy_(settings),
         recovery_(limitsOf(settings, options.recovery)),
-        maxAttempts_(settings.maxAttempts),
+        settings_(settings),
         options_(std::move(options)) {}
 
+  void reconfigure(const Settings& settings) {
+    checkPlaces(settings);
+    const recovery::Limits limits = limitsOf(settings, {});
+    recovery_.takeClasses(limits.effects, limits.worths, limits.maxAttempts);
+    settings_ = settings;
+    out_.emplace_back(Record{now_, {}, "reconfigured", {}, -1, {}});
+    feed(SettingsChanged{settings});
+  }
+
   // ---- From the clients' side ----
   void arrived(Arrival a) {
     ++counts_.taken;
@@ -283,8 +293,8 @@
     Request* r = named(a.id);
     const int attempt = r == nullptr ? 0 : r->number - r->firstNumber;
     const auto role = roles_.find(a.server);
-    if (r == nullptr || r->answered || r->out != 0 || r->attempts >= maxAttempts_ || now_ >= r->end ||
-        role == roles_.end()) {
+    if (r == nullptr || r->answered || r->out != 0 || r->attempts >= settings_.maxAttempts ||
+        now_ >= r->end || role == roles_.end()) {
       ++counts_.guarded;
       events_.emplace_back(AttemptEnded{
           a.id, attempt, a.server, Outcome::kNotSent, r == nullptr || r->answered, 0, Duration(0), {}});
@@ -364,7 +374,7 @@
     event.id = RequestId{r.policyId};
     event.classIndex = r.asked.classIndex;
     event.tenant = r.asked.tenant;
-    event.isRetry = r.asked.isRetry || r.moves > 0;
+    event.isRetry = r.asked.isRetry && r.moves == 0;  // the rest of an answer is no further try
     event.timeLeft = first.count() > 0 ? std::min(whole, first) : whole;
     event.session = r.asked.session;
     event.prefix = r.asked.prefix;
@@ -618,6 +628,17 @@
     if (options_.records) out_.emplace_back(Record{now_, r.id, action, engine, attempt, std::move(why)});
   }
 
+  // What was taken is finished under its class, so no place may come to mean another.
+  void checkPlaces(const Settings& fresh) const {
+    bool kept =
+        fresh.classes.size() >= settings_.classes.size() && fresh.tenants.size() >= settings_.tenants.size();
+    for (std::size_t i = 0; kept && i < settings_.classes.size(); ++i) {
+      const ClassSettings &was = settings_.classes[i], &is = fresh.classes[i];
+      kept = was.effect == is.effect && was.group == is.group && was.dedupWindow == is.dedupWindow;
+    }
+    if (!kept) throw std::invalid_argument("rule 2 (no effect twice): a class or tenant lost its place");
+  }
+
   static recovery::Limits limitsOf(const Settings& settings, recovery::Limits limits) {
     limits.maxAttempts = settings.maxAttempts;
     limits.effects.clear();
@@ -632,7 +653,7 @@
   Policy policy_;
   recovery::Recovery recovery_;
   bool lookDue_ = false;
-  int maxAttempts_;
+  Settings settings_;
   Options options_;
   std::vector<RequestKey> touched_;
   std::unordered_map<std::string, RequestKey> names_;  // for the policy
@@ -711,6 +732,10 @@
   step(now, [&](Impl& impl) { impl.paused(request, paused); });
 }
 
+void Core::reconfigure(Instant now, const Settings& settings) {
+  step(now, [&](Impl& impl) { impl.reconfigure(settings); });
+}
+
 void Core::drain(Instant now) {
   step(now, [](Impl& impl) { impl.drain(); });
 }
--- a/tests/core_test.cpp
+++ b/tests/core_test.cpp
@@ -73,6 +73,37 @@
   std::vector<Command> all;
 };
 
+TEST_F(CoreTest, ReconfigureKeepsOpenRequestsAndTheirClass) {
+  arrive(1, 7);
+  const auto reads = of<StartRead>(take());
+  ASSERT_EQ(reads.size(), 1u);
+  Settings moved = test::twoStageSettings();
+  moved.classes[0].inService = false;
+  moved.classes.push_back({});
+  moved.classes[1].effect = Effect::kUnsafe;
+  moved.nodes = 100;
+  core.reconfigure(at(1.05), moved);
+  EXPECT_TRUE(of<Answer>(take()).empty());
+  EXPECT_EQ(core.open(), 1u);
+  core.readEnded(at(1.1), reads[0].call, "state", 0, {});
+  const auto writes = of<StartWrite>(take());
+  ASSERT_EQ(writes.size(), 1u);
+  core.token(at(1.2), writes[0].call, 0, "a");
+  core.callEnded(at(1.3), writes[0].call, Outcome::kReset, 0, {}, "", recovery::Ending::kTold);
+  EXPECT_EQ(of<StartRead>(take()).size(), 1u) << "its class was safe, so it goes on";
+}
+
+TEST_F(CoreTest, ReconfigureRefusesAPlaceThatMeansSomethingElse) {
+  Settings other = test::twoStageSettings();
+  other.classes[0].effect = Effect::kUnsafe;
+  EXPECT_THROW(core.reconfigure(at(1), other), std::invalid_argument);
+  other.classes.clear();
+  EXPECT_THROW(core.reconfigure(at(1), other), std::invalid_argument);
+  const CallKey call = stream(1, 7);
+  core.callEnded(at(1.4), call, Outcome::kOk, 0, {}, "");
+  EXPECT_EQ(core.counts().served, 1u);
+}
+
 TEST_F(CoreTest, ServesARequestOverReadAndWrite) {
   const CallKey call = stream(1, 7);
   core.token(at(1.3), call, 1, "b");
--- a/tests/node_test.cpp
+++ b/tests/node_test.cpp
@@ -425,6 +425,77 @@
             logged.end());
 }
 
+// ---- The move of a running node to another shape of deployment, and back ----
+std::string movedText(const std::string& fleet) {
+  return "<gannetcourse xmlns='urn:gannetcourse:settings:1'><node name='n1' zone='north' nodes='150'/>"
+         "<listen grpc='127.0.0.1:0' stream-buffer='8KiB' max-metadata='2KiB' max-message='64KiB'/>"
+         "<zones><zone name='south'/><zone name='north'/></zones><classes>"
+         "<class name='booking' aim='1s' first-token-within='6s' effect='unsafe' worth='5'/>"
+         "<class name='order' aim='2s' first-token-within='6s' effect='safe'/></classes>"
+         "<tenants><tenant name='inn' share='0.5' quota-per-second='100'/></tenants>"
+         "<limits max-attempts='4' pin-limit='300ms' answer-margin='200ms'/>"
+         "<engines reports='answers' probes='true' decode-may-prefill='true'/>" +
+         fleet + "</gannetcourse>";
+}
+
+TEST_F(NodeTest, TheMoveLosesAndRepeatsNothingAndGoesBackByTheSameStep) {
+  const std::string fleet = "<fleet file='" + writeFleet({{&reader, "prefill"}, {&writer, "decode"}}) + "'/>";
+  start(fleet);
+  const config::NodeSettings before = config::parseSettings(settingsText(fleet), "node.xml");
+  std::vector<Call> held;
+  writer.onWrite = [&](const Call& call, const v1::DecodeRequest&) { held.push_back(call); };
+  v1::GenerateRequest order = query();
+  order.set_request_class("order");  // unsafe now, safe after the move
+  const auto taken = ask(order);
+  ASSERT_TRUE(until([&] { return held.size() == 1; }));
+
+  node->reload(config::parseSettings(movedText(fleet), "moved.xml"));
+  EXPECT_EQ(node->core().open(), 1u) << "what was taken stays taken";
+  held[0]->finish(
+      {grpc::Code::kInternal, "broke"});  // it may have run: under its old class it must not run again
+  ASSERT_TRUE(until([&] { return taken->end.has_value(); }));
+  EXPECT_EQ(taken->verdict(), "failed");
+  settle();
+  EXPECT_EQ(writer.writes, 1);
+
+  writer.onWrite = nullptr;
+  EXPECT_TRUE(until([&, gone = ask()] { return gone->ended(grpc::Code::kInvalidArgument); }))
+      << "query is not in service";
+  v1::GenerateRequest booking = query();
+  booking.set_request_class("booking");
+  booking.set_tenant("inn");
+  const auto booked = ask(booking);
+  ASSERT_TRUE(until([&] { return booked->end.has_value(); }));
+  EXPECT_TRUE(booked->ended(grpc::Code::kOk)) << booked->end->status.message;
+
+  writer.onWrite = [&](const Call& call, const v1::DecodeRequest&) { held.push_back(call); };
+  const auto underWay = ask(booking);
+  ASSERT_TRUE(until([&] { return held.size() == 2; }));
+  node->reload(before);  // the way back is the same step
+  ScriptedEngine::token(held[1], 0, "done");
+  held[1]->finish({});
+  ASSERT_TRUE(until([&] { return underWay->end.has_value(); }));
+  EXPECT_TRUE(underWay->ended(grpc::Code::kOk)) << "a booking is finished under its class";
+  writer.onWrite = nullptr;
+  const auto asked = ask();
+  ASSERT_TRUE(until([&] { return asked->end.has_value(); }));
+  EXPECT_TRUE(asked->ended(grpc::Code::kOk));
+  EXPECT_EQ(node->settings().classes.size(), 4u) << "query and order found their old places";
+  EXPECT_EQ(node->core().open(), 0u);
+  for (const auto& one : {taken, booked, underWay, asked}) EXPECT_EQ(one->ends, 1);
+}
+
+TEST_F(NodeTest, AMoveThatCannotBeTakenInServiceChangesNothing) {
+  startWithPair();
+  const std::string fleet = "<fleet file='" + (folder / "nowhere.xml").string() + "'/>";
+  EXPECT_THROW(node->reload(config::parseSettings(movedText(fleet), "moved.xml")), config::Faults);
+  EXPECT_EQ(node->settings().classes.size(), 2u);
+  EXPECT_EQ(node->settings().policy.nodes, 1);
+  const auto asked = ask();
+  ASSERT_TRUE(until([&] { return asked->end.has_value(); }));
+  EXPECT_TRUE(asked->ended(grpc::Code::kOk));
+}
+
 // ---- Flow control ----
 TEST_F(NodeTest, AClientThatNeverReadsHoldsFewBytesAndCostsOthersNothing) {
   startWithPair();
--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -120,6 +120,31 @@
   EXPECT_TRUE(only<Send>(host.run(5.2)).empty());
 }
 
+// A request is finished under the class that it was taken with, whatever comes into service meanwhile.
+TEST(NoEffectTwice, NewSettingsInServiceDoNotLoosenTheClassOfWhatIsOut) {
+  Host host(effectSettings(Effect::kUnsafe, DedupGroup::kAll));
+  host.list(1, {server(1, Role::kPrefill), server(2, Role::kDecode), server(3, Role::kDecode)});
+  host.request(1.1, "a");
+  const std::uint32_t writer = sentTo(host.ended(1.2, "a", 1, Outcome::kPrefilled));
+  Settings moved = effectSettings(Effect::kUnsafe, DedupGroup::kAll);
+  moved.classes[0].inService = false;
+  moved.classes.push_back(twoStageSettings().classes[0]);
+  moved.nodes = 150;
+  moved.tenants = {{1, 10}};
+  host.feed(1.25, SettingsChanged{moved});
+  EXPECT_TRUE(only<Send>(host.last).empty());
+  host.ended(1.3, "a", writer, Outcome::kReset);
+  EXPECT_TRUE(only<Send>(host.last).empty());
+  EXPECT_EQ(only<Fail>(host.last).size(), 1U);
+  RequestArrived fresh;
+  fresh.id = {"b"};
+  fresh.classIndex = 1;
+  fresh.tenant = 0;
+  fresh.timeLeft = Duration(4);
+  fresh.promptTokens = 500;
+  EXPECT_NE(sentTo(host.feed(1.4, fresh)), 0U);
+}
+
 TEST(Drains, NothingNewFromTheMomentTheNodeIsTold) {
   Host host(twoStageSettings());
   host.list(1, {server(1, Role::kPrefill), server(2, Role::kPrefill), server(3, Role::kDecode)});
