Readers are asked for their queue only while queues are told lately

Change: the queue that readers told over the last reports, a few seconds, must be 0.2 requests on average.

--- a/src/policy/policy.cpp
+++ b/src/policy/policy.cpp
@@ -68,6 +68,7 @@
 constexpr double kColdMemory = 60;     // how long the most that servers took is remembered
 constexpr double kColdSafety = 0.6;    // share of the cold budget that is used
 constexpr int kMostLooks = 2;          // readers that a request may ask for their queue
+constexpr double kLookFrom = 0.2;      // requests told in readers' queues from which it is worth asking
 constexpr double kLookTime = 0.01;     // how long it waits for the answer
 constexpr double kFreshPrior = 1000;   // tokens of a prompt that must be read
 constexpr double kProbeOften = 0.4;    // a server is probed no more often than this
@@ -681,6 +682,7 @@
   bool looksFirst(Request& r, Server& s) {
     if (now_ - s.reportAt < kRecent) return false;
     if (r.lookedAt == s.entry.id && now_ < r.lookUntil) return true;
+    if (figure(toldQueue_, 0) < kLookFrom) return false;
     if (r.looks >= kMostLooks || !tellQueues_ || !mayProbe() || now_ < s.nextProbe) return false;
     probe(s);
     ++r.looks;
@@ -805,6 +807,7 @@
     if (s == nullptr || !load) return;
     s->report = *load;
     tellQueues_ = tellQueues_ || load->queued;
+    if (s->reads() && load->queued) learn(toldQueue_, *load->queued);
     s->reportAt = now_;
   }
 
@@ -954,7 +957,7 @@
   double probes_ = 1;                                       // that may be sent now
   std::vector<std::pair<double, double>> buckets_;          // for each tenant: requests in hand, and when
   std::vector<double> streamTime_;  // what a class's streams usually last; 0 = not known
-  Learned meanPrompt_, meanFresh_;
+  Learned meanPrompt_, meanFresh_, toldQueue_;
   Learned usual_[2];             // time that reads, and writers' first tokens, took lately
   Recent readCosts_, waits_[2];  // a token's reading; waits at readers and at writers
   double readBase_ = kReadPrior, readPrior_ = kReadPrior, waitPrior_ = kWaitPrior, queuePrior_ = 0;
