The second server lost of a cell puts the others of it on trial

Change: lost contact with a second server of a cell marks the others that have not answered for 0.3 s; one step, so they have one request at a time on trial, and the first answer clears it. A test, red without the change.

--- a/src/policy/policy.cpp
+++ b/src/policy/policy.cpp
@@ -63,6 +63,7 @@
 constexpr double kEjectAt = 0.5;       // illness from which a server is passed over
 constexpr double kFailureStep = 0.34;  // what a failure adds to it; silence and lost contact add twice that
 constexpr double kMostIll = 1.4;       // the most that it can be
+constexpr double kSuspectAfter = 0.3;  // a server that answered since is not suspected with its cell
 constexpr double kHealing = 0.6;       // share of it that a success leaves
 constexpr double kColdUnknown = 2;     // requests a window, of all nodes, that a cold server bears surely
 constexpr double kColdMemory = 60;     // how long the most that servers took is remembered
@@ -878,17 +879,30 @@
       const auto it = s.illness.find(part);
       least = std::min(least, it == s.illness.end() ? 0 : level(it->second));
     }
-    return std::max(least, level(s.contact));
+    return std::max({least, level(s.contact), level(s.suspect)});
   }
 
   void blame(Server& s, const Request& r, Outcome outcome) {
     const bool contact = outcome == Outcome::kConnectFailed || outcome == Outcome::kReset;
+    if (contact) suspectCell(s);
     if (contact) return worsen(s.contact, 2);
     const bool silent = outcome == Outcome::kTimeout;
     if (silent && tooManyOut(s.entry.role, r)) return;
     for (const int part : r.parts) worsen(s.illness[part], silent ? 2 : 1);
   }
 
+  // Servers of a cell share power and switch: when contact is lost with a second of them, the others are on
+  // trial, until each has answered. Guards against learning of a lost rack one server at a time.
+  void suspectCell(const Server& lost) {
+    const auto alike = [&](const Server& s) { return s.entry.cell == lost.entry.cell && &s != &lost; };
+    const bool second = std::any_of(servers_.begin(), servers_.end(), [&](const auto& e) {
+      return alike(e.second) && level(e.second.contact) >= kEjectAt;
+    });
+    for (auto& [id, s] : servers_) {
+      if (second && alike(s) && s.answeredAt < now_ - kSuspectAfter) worsen(s.suspect, 1);
+    }
+  }
+
   bool tooManyOut(Role role, const Request& r) const {
     int ejected = 1, all = 0;
     for (const auto& [id, s] : servers_) {
@@ -902,7 +916,7 @@
     s.answeredAt = now_;
     for (const int part : r.parts) s.illness[part].set(kHealing * level(s.illness[part]), now_);
     if (level(s.contact) > kFailureStep / 2) s.coldSince = std::max(s.coldSince, now_);  // slow start
-    s.contact = {};
+    s.contact = s.suspect = {};
   }
 
   // ---- Fair shares ----
--- a/src/policy/records.h
+++ b/src/policy/records.h
@@ -22,6 +22,7 @@
   Fading streamed, finished;      // of streams: time, in usual lengths; answers that ended
   Fading recent;                  // tokens sent to it lately: not in its reports yet
   Fading contact;                 // connections that failed or broke
+  Fading suspect;                 // lost with others of its cell, perhaps
   std::map<int, Fading> illness;  // by class (from 0) and tenant (below 0)
 };
 
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -285,6 +285,29 @@
 
 // A server that leaves one class unanswered and serves the other: the other's success must not hide it, and
 // it must not cost the other the server. The same for one that turns one tenant away as full.
+// A rack that goes down is not learned of one server at a time.
+TEST(Health, SecondServerLostPutsItsCellOnTrial) {
+  Host host(twoStageSettings());
+  std::vector<ServerEntry> entries = {server(1, Role::kPrefill, 1)};
+  for (std::uint32_t id = 2; id <= 6; ++id) entries.push_back(server(id, Role::kDecode, 1));
+  entries.push_back(server(9, Role::kDecode, 2));
+  host.list(1, entries);
+  std::vector<std::uint32_t> tried;
+  for (int i = 0; i < 4; ++i) {
+    const std::string id = "r" + std::to_string(i);
+    const double at = 1.1 + 0.2 * i;
+    host.request(at, id);
+    std::uint32_t writer = sentTo(host.ended(at + 0.02, id, 1, Outcome::kPrefilled));
+    for (int more = 0; more < 5 && writer >= 2 && writer <= 6; ++more) {
+      tried.push_back(writer);
+      writer = sentTo(host.ended(at + 0.03 + 0.001 * more, id, writer, Outcome::kConnectFailed));
+    }
+  }
+  std::sort(tried.begin(), tried.end());
+  tried.erase(std::unique(tried.begin(), tried.end()), tried.end());
+  EXPECT_LE(tried.size(), 4U) << "the last of the cell are passed over untried";
+}
+
 TEST(Health, IllForOneClassOrTenantOnly) {
   for (const bool byTenant : {false, true}) {
     Settings settings = twoStageSettings();
