Design, on-call, node and contributing pages follow the move; a reload names all that it cannot change

Need: the pages spoke of homes by session, probes of writers only and reloads that change limits alone; a reload that changed the listener's limits or the engines' connections was taken silently without effect. Change: a row for each departure of the move; listener limits and connections are refused by name, worth-by, drain-grace and over-share-worth are told. Tests of settings, node and daemon pass.

--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -289,6 +289,17 @@
          (p.decodeMayPrefill ? "true" : "false");
 }
 
+std::string listenText(const NodeSettings& s) {
+  return "max-connections " + std::to_string(s.maxConnections) + ", max-streams " +
+         std::to_string(s.maxStreams) + ", max-message " + std::to_string(s.maxMessage) + ", max-metadata " +
+         std::to_string(s.maxMetadata);
+}
+
+std::string connectionText(const NodeSettings& s) {
+  return "connections " + std::to_string(s.engineConnections) + ", keepalive " + formatDuration(s.keepalive) +
+         ", keepalive-timeout " + formatDuration(s.keepaliveTimeout);
+}
+
 struct Line {
   const char* name;
   std::string (*value)(const NodeSettings&);
@@ -344,6 +355,13 @@
       {"limits pin-limit", [](const NodeSettings& s) { return formatDuration(s.policy.pinLimit); }, false},
       {"limits max-retry-after", [](const NodeSettings& s) { return formatDuration(s.policy.maxRetryAfter); },
        false},
+      {"limits worth-by",
+       [](const NodeSettings& s) { return std::string(s.policy.worthByWork ? "work" : "request"); }, false},
+      {"limits drain-grace", [](const NodeSettings& s) { return formatDuration(s.drainGrace); }, false},
+      {"tenants over-share-worth", [](const NodeSettings& s) { return number(s.policy.overShareWorth); },
+       false},
+      {"listen limits", listenText, true},
+      {"engines connections and keepalive", connectionText, true},
       {"cold-start", [](const NodeSettings& s) { return coldText(s.policy); }, false},
       {"engines", [](const NodeSettings& s) { return engineText(s.policy); }, false},
       {"limits answer-margin", [](const NodeSettings& s) { return formatDuration(s.answerMargin); }, true},
