--- a/tests/node_test.cpp
+++ b/tests/node_test.cpp
@@ -9,6 +9,8 @@
 
 #include <filesystem>
 #include <fstream>
+#include <map>
+#include <set>
 
 #include "gannetcourse/v1/chat.pb.h"
 #include "gannetcourse/v1/engine.pb.h"
@@ -485,6 +487,66 @@
   for (const auto& one : {taken, booked, underWay, asked}) EXPECT_EQ(one->ends, 1);
 }
 
+// Forth, back and forth again with streams open, reads out, states held and further attempts pending, and a
+// broken file in between.
+TEST_F(NodeTest, MovesUnderLoadAnswerEachRequestOnceAndRunNoUnsafeOneTwice) {
+  const std::string fleet = "<fleet file='" + writeFleet({{&reader, "prefill"}, {&writer, "decode"}}) + "'/>";
+  start(fleet);
+  std::string text = movedText(fleet);
+  const auto tenants = text.find("<tenants>"), end = text.find("</tenants>");
+  text.erase(tenants, end + 10 - tenants);
+  const config::NodeSettings files[] = {config::parseSettings(settingsText(fleet), "node.xml"),
+                                        config::parseSettings(text, "moved.xml")};
+  std::map<std::uint64_t, int> runs;  // by the request's seed
+  std::vector<Call> open;
+  int writes = 0;
+  writer.onWrite = [&](const Call& call, const v1::DecodeRequest& ask) {
+    ++runs[ask.seed()];
+    ScriptedEngine::token(call, 0, "one");
+    if (++writes % 3 == 0) return open.push_back(call);  // stays open over the next reloads
+    if (writes % 5 == 0) return call->finish({grpc::Code::kInternal, "broke"});
+    call->finish({});
+  };
+  std::vector<Call> reads;
+  reader.onRead = [&](const Call& call, const v1::PrefillRequest&) {
+    reader.reads % 4 == 0 ? reads.push_back(call) : ScriptedEngine::answerRead(call);
+  };
+  std::vector<std::shared_ptr<Asked>> asked;
+  std::set<std::uint64_t> unsafe;
+  for (std::uint64_t i = 1; i <= 80; ++i) {
+    const bool moved = i / 10 % 2 == 1;
+    v1::GenerateRequest request = query();
+    request.set_seed(i);
+    request.set_request_class(moved ? (i % 2 ? "booking" : "order") : (i % 2 ? "query" : "order"));
+    if (moved ? i % 2 == 1 : i % 2 == 0) unsafe.insert(i);
+    asked.push_back(ask(request, Duration(20)));
+    loop.step(Duration(0.005));
+    if (i % 10 != 9) continue;
+    ASSERT_TRUE(until([&] { return node->core().counts().taken == i; }));
+    config::NodeSettings broken = files[0];
+    broken.name = "other";
+    EXPECT_THROW(node->reload(broken), std::invalid_argument);
+    node->reload(files[moved ? 0 : 1]);
+    for (const Call& call : std::exchange(open, {})) call->finish({});
+    for (const Call& call : std::exchange(reads, {})) ScriptedEngine::answerRead(call);
+  }
+  const auto allEnded = [&] {
+    for (const Call& call : std::exchange(open, {})) call->finish({});
+    for (const Call& call : std::exchange(reads, {})) ScriptedEngine::answerRead(call);
+    return std::all_of(asked.begin(), asked.end(), [](const auto& one) { return one->end.has_value(); });
+  };
+  ASSERT_TRUE(until(allEnded));
+  settle();
+  for (const auto& one : asked) {
+    EXPECT_EQ(one->ends, 1);
+    EXPECT_FALSE(one->ended(grpc::Code::kInvalidArgument)) << one->end->status.message;
+  }
+  EXPECT_FALSE(unsafe.empty());
+  for (const std::uint64_t seed : unsafe) EXPECT_LE(runs[seed], 1) << "request " << seed;
+  EXPECT_GT(node->core().counts().served, 20u);
+  EXPECT_EQ(node->core().owed(), 0u);
+}
+
 TEST_F(NodeTest, AMoveThatCannotBeTakenInServiceChangesNothing) {
   startWithPair();
   const std::string fleet = "<fleet file='" + (folder / "nowhere.xml").string() + "'/>";
