A writer's pace counts against the middle of all writers: a node's start made all of them slow

A node that has just started has seen only short answers end, so the usual length was far too short, every writer looked slow, nothing was let in and so nothing was learned. Change: pace() is taken against the median of all writers' paces, so at most half of them can be slow.

--- a/src/policy/policy.cpp
+++ b/src/policy/policy.cpp
@@ -225,6 +225,7 @@
     watchRequests();
     updatePools();
     updateScores();
+    updatePace();
     drainQueue();
     probeServers();
     std::erase_if(servers_, [](const auto& e) {
@@ -258,13 +259,26 @@
     }
   }
 
-  // How long a writer's streams last against what is usual, running ones too: time streamed over answers
-  // ended. Guards against writers that age or share their machine: their first tokens still come in time.
+  // How long a writer's streams last, running ones too: time streamed over answers ended. Guards against
+  // writers that age or share their machine: their first tokens still come in time. It counts against the
+  // middle of all writers: to a node that has just started only short answers have ended, and all would look
+  // slow.
   double pace(const Server& s) const {
     return (s.streamed.get(now_, kPaceMemory) + kPacePrior) /
            (s.finished.get(now_, kPaceMemory) + kPacePrior);
   }
 
+  void updatePace() {
+    std::vector<double> paces;
+    for (const auto& [id, s] : servers_) {
+      if (s.writes() && s.serving()) paces.push_back(pace(s));
+    }
+    if (paces.empty()) return;
+    const auto half = paces.begin() + static_cast<long>(paces.size() / 2);
+    std::nth_element(paces.begin(), half, paces.end());
+    usualPace_ = std::max(1.0, *half);
+  }
+
   void watchStream(const Request& r) {
     const double usual = streamTime_[r.ask.classIndex];
     Fading& streamed = servers_[r.server].streamed;
@@ -424,7 +438,7 @@
     const bool queues = fresh(s) && s.report.queued.value_or(0) >= 1;
     double wait = figure(s.wait, waitPrior_) * (0.5 + s.score) + ill(s, r);
     if (after > kNearlyFull || queues) wait += kYieldShare * shortestAim_;
-    wait += kYieldShare * shortestAim_ * std::max(0.0, pace(s) - kSlowPace);
+    wait += kYieldShare * shortestAim_ * std::max(0.0, pace(s) / usualPace_ - kSlowPace);
     return wait + 3 * std::max(0.0, after - kNearlyFull);
   }
 
@@ -974,7 +988,8 @@
   Learned meanPrompt_, meanFresh_, toldQueue_;
   Learned usual_[2];             // time that reads, and writers' first tokens, took lately
   Recent readCosts_, waits_[2];  // a token's reading; waits at readers and at writers
-  double readBase_ = kReadPrior, readPrior_ = kReadPrior, waitPrior_ = kWaitPrior, queuePrior_ = 0;
+  double readBase_ = kReadPrior, readPrior_ = kReadPrior, waitPrior_ = kWaitPrior, queuePrior_ = 0,
+         usualPace_ = 1;
 };
 
 Policy::Policy(Settings settings) : impl_(std::make_unique<Impl>(std::move(settings))) {}
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -185,6 +185,22 @@
   EXPECT_GE(toOther, 28);
 }
 
+// To a node that has just started only short answers have ended: that makes no writer slow, and shuts no
+// door.
+TEST(Writer, ShortAnswersFirstMakeNobodySlow) {
+  Host host(twoStageSettings());
+  host.list(1, {server(1, Role::kPrefill), server(2, Role::kDecode), server(3, Role::kDecode)});
+  double at = 1.1;
+  for (int i = 0; i < 40; ++i, at += 0.1) {
+    const std::string id = "s" + std::to_string(i);
+    ASSERT_EQ(sentTo(host.request(at, id, 200)), 1U) << "request " << i;
+    const std::uint32_t writer = sentTo(host.ended(at + 0.02, id, 1, Outcome::kPrefilled));
+    host.streams(at + 0.04, id, writer);
+    if (i < 4) host.ended(at + 0.06, id, writer, Outcome::kOk, true);  // the others go on
+    host.run(at + 0.09);
+  }
+}
+
 TEST(Mixed, TakesARequestWholeAndReadersServePureWriters) {
   Host host(twoStageSettings());
   host.list(1, {server(1, Role::kMixed)});
