A cell is suspected only where its roles are served elsewhere

Change: suspectCell leaves servers alone whose role no other cell serves. Measured: 75 module and 48 core tests pass under ASan and UBSan.

--- a/src/policy/policy.cpp
+++ b/src/policy/policy.cpp
@@ -912,8 +912,14 @@
     const bool second = std::any_of(servers_.begin(), servers_.end(), [&](const auto& e) {
       return alike(e.second) && level(e.second.contact) >= kEjectAt;
     });
+    std::set<Role> elsewhere;  // where a cell is all there is, passing it over helps nobody
+    for (const auto& [id, s] : servers_) {
+      if (s.entry.cell != lost.entry.cell && s.serving() && level(s.contact) < kEjectAt)
+        elsewhere.insert(s.entry.role);
+    }
     for (auto& [id, s] : servers_) {
-      if (second && alike(s) && s.answeredAt < now_ - kSuspectAfter) worsen(s.suspect, 1);
+      const bool quiet = s.answeredAt < now_ - kSuspectAfter;
+      if (second && alike(s) && quiet && elsewhere.count(s.entry.role) > 0) worsen(s.suspect, 1);
     }
   }
 
