The record of new settings in service is logged at level info, as migration.md says

Cause: the steps of migration.md carried out on a running node, there and back, showed each changed setting and 'settings reloaded', but not the decision record 'reconfigured': it had the level of debug. Change: it is among the records that are told at info.

--- a/src/daemon/log.cpp
+++ b/src/daemon/log.cpp
@@ -14,7 +14,7 @@
 
 bool endsRequest(const std::string& action) {
   return action == "served" || action == "refused" || action == "failed" || action == "deadline" ||
-         action == "client_gone" || action == "draining";
+         action == "client_gone" || action == "draining" || action == "reconfigured";
 }
 
 }  // namespace
