Review of the move: one median, one place that learns links, a bound for popular texts

Cause: read once more, the change had a second median beside Recent's, learned links in two places, listed a class's fields by hand to compare it, and let the table of popular texts grow with requests that were never sent (it was pruned only when the prefix table was full). A reload took keys and zones before the core had agreed to the settings.

--- a/include/gannetcourse/policy.h
+++ b/include/gannetcourse/policy.h
@@ -41,6 +41,7 @@
   DedupGroup group = DedupGroup::kAll;
   Duration dedupWindow{0};  // for how long repeats are dropped
   bool inService = true;    // false: what was taken of it is finished, nothing new comes
+  bool operator==(const ClassSettings&) const = default;
 };
 
 struct TenantSettings {
--- a/src/config/in_service.cpp
+++ b/src/config/in_service.cpp
@@ -7,10 +7,9 @@
 namespace {
 
 // Whether requests of one may be finished under the other; what only the checks of new ones read may differ.
-bool sameRules(const ClassSettings& a, const ClassSettings& b) {
-  return a.aim == b.aim && a.aimPerToken == b.aimPerToken && a.tokenAim == b.tokenAim && a.worth == b.worth &&
-         a.lateWorth == b.lateWorth && a.effect == b.effect && a.group == b.group &&
-         a.dedupWindow == b.dedupWindow;
+bool sameRules(ClassSettings a, const ClassSettings& b) {
+  a.inService = b.inService;
+  return a == b;
 }
 
 void carryClasses(const NodeSettings& running, NodeSettings& fresh) {
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -123,10 +123,10 @@
   std::optional<discovery::EngineList> list;
   if (!fresh.fleetFile.empty()) list = discovery::loadFleetFile(fresh.fleetFile, translator);
   for (const std::string& line : config::differences(settings_, settings)) log("config", "info", line);
+  core_.reconfigure(loop_.now(), policySettings(fresh));
   sealer_ = std::move(sealer);
   translator_ = std::move(translator);
   settings_ = std::move(fresh);
-  core_.reconfigure(loop_.now(), policySettings(settings_));
   if (list) takeList(*list);
   run();
 }
--- a/src/policy/policy.cpp
+++ b/src/policy/policy.cpp
@@ -34,7 +34,7 @@
 constexpr double kMissWeight = 1;         // what reading a token anew costs those who come after
 constexpr double kWaitPrior = 0.05;       // a writer's wait before the first token
 constexpr double kLinkPrior[] = {5e-6, 2e-5, 4e-5};  // a state's move, a token: cell, zone, beyond
-constexpr double kLinkForget = 30;
+constexpr double kLinkForget = 30;        // how long what a link takes counts: the layout of racks stays
 constexpr double kFarBias = 0.02;         // prices of leaving the cell or the zone, as time
 constexpr double kKeepFor = 60;           // ageing of the prefix table
 constexpr std::size_t kMostKept = 50000;  // its entries before old ones are dropped
@@ -233,8 +233,9 @@
     });
     if (kept_.size() > kMostKept) {
       std::erase_if(kept_, [this](const auto& e) { return e.second.back().at < now_ - kKeepFor / 2; });
-      std::erase_if(asked_, [this](const auto& e) { return e.second.get(now_, kPopular) < 0.5; });
     }
+    if (asked_.size() > kMostKept)  // also of requests that were never sent
+      std::erase_if(asked_, [this](const auto& e) { return e.second.get(now_, kPopular) < 0.5; });
   }
 
   // Every request has its answer before the client's time is up. Guards against silence, be it a hang, a
@@ -273,10 +274,7 @@
     for (const auto& [id, s] : servers_) {
       if (s.writes() && s.serving()) paces.push_back(pace(s));
     }
-    if (paces.empty()) return;
-    const auto half = paces.begin() + static_cast<long>(paces.size() / 2);
-    std::nth_element(paces.begin(), half, paces.end());
-    usualPace_ = std::max(1.0, *half);
+    if (!paces.empty()) usualPace_ = std::max(1.0, middleOf(std::move(paces)));
   }
 
   void watchStream(const Request& r) {
@@ -698,7 +696,7 @@
     if (now_ - s.reportAt < kRecent) return false;
     if (r.lookedAt == s.entry.id && now_ < r.lookUntil) return true;
     if (figure(toldQueue_, 0) < kLookFrom) return false;
-    if (r.looks >= kMostLooks || !tellQueues_ || !mayProbe() || now_ < s.nextProbe) return false;
+    if (r.looks >= kMostLooks || !mayProbe() || now_ < s.nextProbe) return false;
     probe(s);
     ++r.looks;
     r.lookedAt = s.entry.id;
@@ -868,7 +866,7 @@
     const int kind = linkKind(*reader, s);
     if (kind == 0) return learnWait(s, took - transferTime(*reader, kind, r.ask.promptTokens));
     const double moved = std::max(0.0, took - figure(s.wait, waitPrior_)) / (r.ask.promptTokens + 1);
-    links_[{reader->entry.cell, kind}].add(moved, now_, kLinkForget, kMemory);
+    learnLink(*reader, kind, moved);
   }
 
   // A state that does not come over a link in time tells of the link, which all readers of its cell share; to
@@ -877,11 +875,14 @@
     const Server* reader = find(r.reader);
     if (r.stage != Stage::kWriting || reader == nullptr) return false;
     const int kind = linkKind(*reader, writer);
-    if (kind > 0)
-      links_[{reader->entry.cell, kind}].add(took / (r.ask.promptTokens + 1), now_, kLinkForget, kMemory);
+    if (kind > 0) learnLink(*reader, kind, took / (r.ask.promptTokens + 1));
     return kind > 0;
   }
 
+  void learnLink(const Server& reader, int kind, double token) {
+    links_[{reader.entry.cell, kind}].add(token, now_, kLinkForget, kMemory);
+  }
+
   // ---- Health ----
   // Outlier ejection from symptoms: errors, refusals, silence and lost contact. A server may be ill for one
   // class or one tenant only, so each has its record, and the healthier of a request's two counts: neither do
@@ -912,6 +913,7 @@
     const bool second = std::any_of(servers_.begin(), servers_.end(), [&](const auto& e) {
       return alike(e.second) && level(e.second.contact) >= kEjectAt;
     });
+    if (!second) return;
     std::set<Role> elsewhere;  // where a cell is all there is, passing it over helps nobody
     for (const auto& [id, s] : servers_) {
       if (s.entry.cell != lost.entry.cell && s.serving() && level(s.contact) < kEjectAt)
@@ -919,7 +921,7 @@
     }
     for (auto& [id, s] : servers_) {
       const bool quiet = s.answeredAt < now_ - kSuspectAfter;
-      if (second && alike(s) && quiet && elsewhere.count(s.entry.role) > 0) worsen(s.suspect, 1);
+      if (alike(s) && quiet && elsewhere.count(s.entry.role) > 0) worsen(s.suspect, 1);
     }
   }
 
--- a/src/policy/statistics.h
+++ b/src/policy/statistics.h
@@ -28,6 +28,13 @@
   double value_ = 0, weight_ = 0, at_ = 0;
 };
 
+// The upper middle of some values; there must be one.
+inline double middleOf(std::vector<double> values) {
+  const auto half = values.begin() + static_cast<long>(values.size() / 2);
+  std::nth_element(values.begin(), half, values.end());
+  return *half;
+}
+
 // The median of the samples since a time.
 class Recent {
  public:
@@ -37,9 +44,7 @@
     if (samples_.empty()) return otherwise;
     std::vector<double> values;
     for (const auto& [at, sample] : samples_) values.push_back(sample);
-    const auto half = values.begin() + static_cast<long>(values.size() / 2);
-    std::nth_element(values.begin(), half, values.end());
-    return *half;
+    return middleOf(std::move(values));
   }
 
  private:
--- a/tests/daemon_test.cpp
+++ b/tests/daemon_test.cpp
@@ -82,6 +82,13 @@
     return done();
   }
 
+  // Whether a node that is given these settings by SIGHUP says so in its log.
+  bool reloads(pid_t node, const std::string& text, const std::string& says) {
+    file("node.xml", text);
+    ::kill(node, SIGHUP);
+    return until([&] { return read("node.log").find(says) != std::string::npos; });
+  }
+
   void readAnswers(const Call& call) {
     v1::PrefillReply reply;
     reply.set_state("s");
@@ -155,9 +162,7 @@
 TEST_F(DaemonTest, ABrokenReloadKeepsTheOldSettingsWithOneLine) {
   const auto node = startProcess(GANNETCOURSE, folder.string(), "node", settings());
   const auto reload = [&](const std::string& text, const std::string& says) {
-    file("node.xml", text);
-    ::kill(node->pid(), SIGHUP);
-    return until([&] { return read("node.log").find(says) != std::string::npos; });
+    return reloads(node->pid(), text, says);
   };
   EXPECT_TRUE(reload("<gannetcourse", "reload refused, the old settings stay: "));
   EXPECT_TRUE(reload(settings("<limits answer-margin='1ms'/>"), "rule 1"));
@@ -180,9 +185,7 @@
 TEST_F(DaemonTest, AMoveInServiceIsLoggedAndTakesBackByTheSameStep) {
   const auto node = startProcess(GANNETCOURSE, folder.string(), "node", settings());
   const auto reload = [&](const std::string& text, const std::string& says) {
-    file("node.xml", text);
-    ::kill(node->pid(), SIGHUP);
-    return until([&] { return read("node.log").find(says) != std::string::npos; });
+    return reloads(node->pid(), text, says);
   };
   grpc::Channel channel(loop, {"127.0.0.1", node->port()});
   const auto asked = ask(channel);
