--- a/cmake/Program.cmake
+++ b/cmake/Program.cmake
@@ -7,6 +7,7 @@
 find_package(LibXml2 REQUIRED)
 pkg_check_modules(NGHTTP2 REQUIRED IMPORTED_TARGET libnghttp2)
 pkg_check_modules(XXHASH REQUIRED IMPORTED_TARGET libxxhash)
+find_package(Boost REQUIRED)
 
 set(made ${CMAKE_CURRENT_BINARY_DIR}/proto)
 file(MAKE_DIRECTORY ${made})
@@ -38,13 +39,25 @@
 gannetcourse_room(fronts SOURCES src/fronts/chat.cpp src/fronts/health.cpp
                   LINK gannetcourse_router gannetcourse_grpc gannetcourse_resume gannetcourse_proto
                        PkgConfig::XXHASH)
-gannetcourse_room(node SOURCES src/node/node.cpp LINK gannetcourse_engines gannetcourse_fronts)
-gannetcourse_room(daemon SOURCES src/daemon/log.cpp src/daemon/serve.cpp
-                  LINK gannetcourse_node spdlog::spdlog nlohmann_json::nlohmann_json)
+gannetcourse_room(driver SOURCES src/node/driver.cpp LINK gannetcourse_router gannetcourse_net)
+gannetcourse_room(node SOURCES src/node/node.cpp LINK gannetcourse_driver gannetcourse_engines gannetcourse_fronts)
+gannetcourse_room(http1 SOURCES src/http1/parser.cpp src/http1/server.cpp src/http1/client.cpp
+                  LINK gannetcourse_net)
+target_link_libraries(gannetcourse_http1 PRIVATE Boost::headers)
+gannetcourse_room(platform SOURCES src/platform/configuration.cpp src/platform/discovery.cpp src/platform/events.cpp src/platform/engines.cpp
+                                   src/platform/front.cpp src/platform/node.cpp
+                  LINK gannetcourse_driver gannetcourse_http1 gannetcourse_instance)
+gannetcourse_room(daemon SOURCES src/daemon/log.cpp src/daemon/serve.cpp src/daemon/signals.cpp
+                                 src/daemon/platform.cpp
+                  LINK gannetcourse_node gannetcourse_platform spdlog::spdlog nlohmann_json::nlohmann_json)
 gannetcourse_program(gannetcourse SOURCES src/daemon/main.cpp LINK gannetcourse_daemon CLI11::CLI11)
 target_compile_definitions(gannetcourse PRIVATE GANNETCOURSE_VERSION="${PROJECT_VERSION}")
 install(TARGETS gannetcourse)
 
+if(NOT GANNETCOURSE_LAB)
+  return()
+endif()
+
 # The lab: stand-ins, load and audit. Nothing of it is linked into the product.
 gannetcourse_room(lab SOURCES lab/engine_model.cpp lab/ledger.cpp lab/stand_in.cpp lab/registry_stand_in.cpp lab/day.cpp
                               lab/clients.cpp lab/troubles.cpp lab/nodes.cpp lab/tamper.cpp lab/play.cpp
--- a/include/gannetcourse/router.h
+++ b/include/gannetcourse/router.h
@@ -23,6 +23,7 @@
 // What engines are told of a request. The core passes it on unread.
 struct Work {
   std::string requestClass, tenant, session, prefixKey, prompt;
+  std::string target;  // where the engines' protocol has the client's own; else empty
   std::uint32_t prefixTokens = 0, promptTokens = 0, maxOutputTokens = 0;
   std::uint64_t seed = 0;
   std::uint32_t firstIndex = 0;  // of a continuation: tokens before it have been sent and end the prompt
@@ -39,7 +40,9 @@
 
 struct Arrival {
   RequestKey key = 0;
+  std::string id;                // its name for engines, of no other open request; empty = the core names it
   Duration timeLeft{0};          // until the client gives up on the whole answer
+  bool untilFirstToken = false;  // timeLeft ends with the first token: a stream has all the time it takes
   Duration firstTokenWithin{0};  // ... and on the first token; 0 = timeLeft
   std::size_t classIndex = 0;    // in Settings::classes
   std::optional<std::size_t> tenant;
@@ -61,6 +64,7 @@
   int attempt = 0;
   ServerId engine;
   Duration timeLeft{0};  // for the engine's information; the core keeps the time
+  Duration waits{0};     // ... and how long the core waits for the end of this read
   std::shared_ptr<const Work> work;
 };
 struct StartWrite {  // a call that answers; tokens, then callEnded()
@@ -72,6 +76,7 @@
   std::optional<ServerId> reader;  // where the state waits; absent: the engine reads by itself
   std::string state;
   Duration timeLeft{0};
+  Duration waits{0};  // how long the core waits for its first token
   std::shared_ptr<const Work> work;
 };
 struct CallOff {  // the call is over; what it still says must not reach the core's client
--- a/src/daemon/log.cpp
+++ b/src/daemon/log.cpp
@@ -10,8 +10,6 @@
 namespace gannetcourse::daemon {
 namespace {
 
-constexpr std::size_t kQueue = 32768;  // lines that may wait for a slow disk; then the oldest go
-
 bool endsRequest(const std::string& action) {
   return action == "served" || action == "refused" || action == "failed" || action == "deadline" ||
          action == "client_gone" || action == "draining" || action == "reconfigured";
@@ -21,7 +19,8 @@
 
 class Log::Impl {
  public:
-  explicit Impl(const std::string& file) : pool_(std::make_shared<spdlog::details::thread_pool>(kQueue, 1)) {
+  Impl(const std::string& file, std::size_t queue)
+      : pool_(std::make_shared<spdlog::details::thread_pool>(queue, 1)) {
     spdlog::sink_ptr sink;
     try {
       if (file.empty()) {
@@ -66,7 +65,7 @@
   std::map<std::string, spdlog::level::level_enum> packages_;
 };
 
-Log::Log(const std::string& file) : impl_(std::make_unique<Impl>(file)) {}
+Log::Log(const std::string& file, std::size_t queue) : impl_(std::make_unique<Impl>(file, queue)) {}
 Log::~Log() = default;
 
 void Log::setLevels(const std::string& level, const std::map<std::string, std::string>& packages) {
--- a/src/daemon/log.h
+++ b/src/daemon/log.h
@@ -12,8 +12,10 @@
 
 class Log {
  public:
-  // Standard error where `file` is empty. Throws std::runtime_error where the file cannot be opened.
-  explicit Log(const std::string& file);
+  static constexpr std::size_t kQueue = 32768;
+  // Standard error where `file` is empty. `queue`: lines that may wait for a slow disk; then the oldest go.
+  // Throws std::runtime_error where the file cannot be opened.
+  explicit Log(const std::string& file, std::size_t queue = kQueue);
   ~Log();  // writes what is due
 
   void setLevels(const std::string& level, const std::map<std::string, std::string>& packages);
--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -15,11 +15,16 @@
   CLI::App* const check =
       app.add_subcommand("check", "check a settings file and say what a node would do with it");
   check->add_option("-c,--config,settings", settings, "settings file (XML)")->required();
+  bool records = false;
+  CLI::App* const platform = app.add_subcommand(
+      "platform", "run a node on the platform's protocol; NODE_CONFIG names its configuration");
+  platform->add_flag("--records", records, "log each decision");
   CLI::App* const version = app.add_subcommand("version", "print the version");
   CLI11_PARSE(app, argc, argv);
   if (version->parsed()) {
     std::cout << "gannetcourse " GANNETCOURSE_VERSION "\n";
     return 0;
   }
+  if (platform->parsed()) return gannetcourse::daemon::platformNode(records);
   return check->parsed() ? gannetcourse::daemon::check(settings) : gannetcourse::daemon::serve(settings);
 }
--- a/src/daemon/serve.cpp
+++ b/src/daemon/serve.cpp
@@ -1,50 +1,19 @@
 #include "daemon/serve.h"
 
-#include <sys/signalfd.h>
-#include <unistd.h>
-
 #include <csignal>
 #include <cstdio>
 #include <functional>
 #include <iostream>
 #include <random>
-#include <system_error>
 
 #include "config/settings.h"
 #include "daemon/log.h"
+#include "daemon/signals.h"
 #include "node/node.h"
 
 namespace gannetcourse::daemon {
 namespace {
 
-// Signals as events of the loop.
-class Signals final : private net::Watcher {
- public:
-  Signals(net::Loop& loop, std::function<void(int)> tell) : loop_(loop), tell_(std::move(tell)) {
-    sigset_t set;
-    sigemptyset(&set);
-    for (const int number : {SIGHUP, SIGTERM, SIGINT}) sigaddset(&set, number);
-    pthread_sigmask(SIG_BLOCK, &set, nullptr);
-    fd_ = signalfd(-1, &set, SFD_NONBLOCK | SFD_CLOEXEC);
-    if (fd_ < 0) throw std::system_error(errno, std::generic_category(), "signalfd");
-    loop_.watch(fd_, this);
-  }
-  ~Signals() override {
-    loop_.unwatch(fd_);
-    close(fd_);
-  }
-
- private:
-  void onReady(bool, bool) override {
-    signalfd_siginfo info{};
-    while (read(fd_, &info, sizeof info) == sizeof info) tell_(static_cast<int>(info.ssi_signo));
-  }
-
-  net::Loop& loop_;
-  std::function<void(int)> tell_;
-  int fd_ = -1;
-};
-
 std::string startName() {
   std::random_device random;
   char text[16];
--- a/src/daemon/serve.h
+++ b/src/daemon/serve.h
@@ -9,6 +9,11 @@
 // Prints one line "listening PORT" to standard output once it serves.
 int serve(const std::string& settingsPath);
 
+// `gannetcourse platform`: a node on the platform's protocol, all of it told by what NODE_CONFIG names.
+// SIGHUP reads that again, SIGTERM drains. `records`: one log line for each decision. Returns as serve()
+// does.
+int platformNode(bool records);
+
 // `gannetcourse check`: prints every fault, or what the node would do. Returns 0 where the file is usable.
 int check(const std::string& settingsPath);
 
--- /dev/null
+++ b/src/daemon/signals.cpp
@@ -0,0 +1,33 @@
+#include "daemon/signals.h"
+
+#include <sys/signalfd.h>
+#include <unistd.h>
+
+#include <cerrno>
+#include <csignal>
+#include <system_error>
+#include <utility>
+
+namespace gannetcourse::daemon {
+
+Signals::Signals(net::Loop& loop, std::function<void(int)> tell) : loop_(loop), tell_(std::move(tell)) {
+  sigset_t set;
+  sigemptyset(&set);
+  for (const int number : {SIGHUP, SIGTERM, SIGINT}) sigaddset(&set, number);
+  pthread_sigmask(SIG_BLOCK, &set, nullptr);
+  fd_ = signalfd(-1, &set, SFD_NONBLOCK | SFD_CLOEXEC);
+  if (fd_ < 0) throw std::system_error(errno, std::generic_category(), "signalfd");
+  loop_.watch(fd_, this);
+}
+
+Signals::~Signals() {
+  loop_.unwatch(fd_);
+  close(fd_);
+}
+
+void Signals::onReady(bool, bool) {
+  signalfd_siginfo info{};
+  while (read(fd_, &info, sizeof info) == sizeof info) tell_(static_cast<int>(info.ssi_signo));
+}
+
+}  // namespace gannetcourse::daemon
--- /dev/null
+++ b/src/daemon/signals.h
@@ -0,0 +1,24 @@
+// SIGHUP, SIGTERM and SIGINT as events of a loop.
+#pragma once
+
+#include <functional>
+
+#include "net/loop.h"
+
+namespace gannetcourse::daemon {
+
+// To be made before any other thread starts: threads inherit that these signals are blocked.
+class Signals final : private net::Watcher {
+ public:
+  Signals(net::Loop& loop, std::function<void(int)> tell);  // throws std::system_error
+  ~Signals() override;
+
+ private:
+  void onReady(bool readable, bool writable) override;
+
+  net::Loop& loop_;
+  std::function<void(int)> tell_;
+  int fd_ = -1;
+};
+
+}  // namespace gannetcourse::daemon
--- a/src/engines/fleet.h
+++ b/src/engines/fleet.h
@@ -7,7 +7,7 @@
 #include <unordered_map>
 
 #include "discovery/engine_list.h"
-#include "gannetcourse/router.h"
+#include "engines/sides.h"
 #include "grpc/channel.h"
 
 namespace gannetcourse::v1 {
@@ -20,42 +20,26 @@
 // run".
 Outcome outcomeOf(const grpc::CallEnd& end);
 
-// Where the fleet's news goes; router::Core's methods without the time.
-class Sink {
- public:
-  virtual ~Sink() = default;
-  virtual void readEnded(router::CallKey call, std::string state, double kept,
-                         std::optional<LoadReport> load) = 0;
-  virtual void token(router::CallKey call, std::uint32_t index, std::string text) = 0;
-  virtual void callEnded(router::CallKey call, Outcome outcome, double kept, std::optional<LoadReport> load,
-                         const std::string& why, recovery::Ending ending) = 0;
-  virtual void fenced(router::RequestKey request, int attempt) = 0;
-  virtual void goesAway(ServerId engine) = 0;  // it said that it ends in good order
-  virtual void probeEnded(ServerId engine, Outcome outcome, Duration elapsed,
-                          std::optional<LoadReport> load) = 0;
-  virtual void seatAnswered(router::RequestKey request, ServerId engine, bool held) = 0;
-};
-
-class Fleet {
+class Fleet final : public Caller {
  public:
   // `lease`: what engines are told of how long a stream outlives the last that they hear of this node.
   Fleet(net::Loop& loop, std::string node, Duration lease, const grpc::ChannelOptions& options, Sink& sink);
-  ~Fleet();
+  ~Fleet() override;
   Fleet(const Fleet&) = delete;
   Fleet& operator=(const Fleet&) = delete;
 
   void update(const discovery::EngineList& list);
 
-  void start(const router::StartRead& read);
-  void start(const router::StartWrite& write);
-  void callOff(router::CallKey call);
-  void reserve(const router::ReserveSeat& seat);
-  void letGo(const router::LetGo& letGo);
-  void fence(const router::FenceAttempt& fence);
-  void probe(ServerId engine);
-  void pause(router::CallKey call, bool paused);  // a stream whose client takes nothing
+  void start(const router::StartRead& read) override;
+  void start(const router::StartWrite& write) override;
+  void callOff(router::CallKey call) override;
+  void reserve(const router::ReserveSeat& seat) override;
+  void letGo(const router::LetGo& letGo) override;
+  void fence(const router::FenceAttempt& fence) override;
+  void probe(ServerId engine) override;
+  void pause(router::CallKey call, bool paused) override;
 
-  std::size_t smallCalls() const { return small_.size(); }  // releases, probes, reservations that are out
+  std::size_t smallCalls() const override { return small_.size(); }
 
  private:
   struct Engine {
--- a/src/fronts/router_side.h
+++ b/src/fronts/router_side.h
@@ -4,22 +4,12 @@
 #include <memory>
 
 #include "config/settings.h"
-#include "gannetcourse/router.h"
+#include "fronts/client_side.h"
 #include "net/loop.h"
 #include "resume/seal.h"
 
 namespace gannetcourse::fronts {
 
-// One request as its front keeps it.
-class ClientSide {
- public:
-  virtual ~ClientSide() = default;
-  virtual void resumeFrom(const router::ResumeFrom&) {}
-  virtual void deliver(const router::Deliver& token) = 0;
-  virtual void answer(const router::Answer& answer) = 0;  // once; nothing follows
-  virtual void answerTwiceForTests() {}                   // sends a further answer ahead of the real one
-};
-
 class RouterSide {
  public:
   virtual ~RouterSide() = default;
--- /dev/null
+++ b/src/http1/client.cpp
@@ -0,0 +1,231 @@
+#include "http1/client.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace gannetcourse::http1 {
+namespace {
+
+const Duration kSweep{0.25};
+
+std::span<const std::uint8_t> bytesOf(std::string_view text) {
+  return {reinterpret_cast<const std::uint8_t*>(text.data()), text.size()};
+}
+
+}  // namespace
+
+class ClientConnection final : public net::ConnectionOwner {
+ public:
+  ClientConnection(Client& client, const net::Endpoint& to)
+      : client_(client), connection_(client.loop_, *this), to_(to) {}
+
+  void open() { connection_.connect(to_, client_.options_.connectTimeout); }
+
+  void begin(CallId call, const std::string& head, const std::shared_ptr<const std::string>& body,
+             std::shared_ptr<CallSink> sink) {
+    call_ = call;
+    sink_ = std::move(sink);
+    heardAt_ = client_.loop_.now();
+    parser_ = std::make_unique<ResponseParser>(client_.options_.limits,
+                                               ResponseParser::Told{[this](const ResponseHead& h) {
+                                                                      if (sink_) sink_->head(h);
+                                                                    },
+                                                                    [this](std::string_view b) {
+                                                                      if (sink_) sink_->body(b);
+                                                                    }});
+    connection_.append(bytesOf(head));
+    if (body) connection_.append(bytesOf(*body));
+    connection_.flush();
+  }
+
+  // Whether it can take a further call: what the kernel holds is read first, an end above all.
+  bool usable() {
+    if (connection_.connected()) connection_.poll();
+    return connection_.connected() && call_ == 0 && !dropped_;
+  }
+
+  void cancel() {
+    sink_.reset();
+    close();
+  }
+
+  void close() {
+    connection_.close();
+    client_.drop(this);
+  }
+
+  void look(Instant now) {
+    if (call_ == 0 && now - idleSince_ > client_.options_.idle) return close();
+    if (call_ == 0 || connection_.frozen() || !parser_->midway()) return;
+    if (now - heardAt_ > client_.options_.midway) fail(End::kSpoilt, "silent inside its answer");
+  }
+
+  void freeze(bool frozen) { connection_.freeze(frozen); }
+  const net::Endpoint& to() const { return to_; }
+  bool idle() const { return call_ == 0 && connection_.connected(); }
+  Instant idleSince() const { return idleSince_; }
+
+ private:
+  friend class Client;
+
+  void onConnected() override { connection_.flush(); }
+  void onWritable() override {}
+
+  void onBytes(std::span<const std::uint8_t> bytes) override {
+    heardAt_ = client_.loop_.now();
+    if (call_ == 0) return close();  // nobody asked
+    const State state = parser_->take({reinterpret_cast<const char*>(bytes.data()), bytes.size()});
+    if (dropped_ || call_ == 0) return;
+    if (state == State::kBad) return fail(End::kSpoilt, "its answer cannot be read");
+    if (state == State::kWhole) whole();
+  }
+
+  void whole() {
+    const std::shared_ptr<CallSink> sink = std::move(sink_);
+    client_.calls_.erase(std::exchange(call_, 0));
+    idleSince_ = client_.loop_.now();
+    const bool keep = parser_->reusable() && connection_.pending() == 0 && client_.forgotten_.count(to_) == 0;
+    if (keep) {
+      client_.idle_[to_].push_back(this);
+    } else {
+      close();
+    }
+    if (sink) sink->end(End::kWhole, "");
+  }
+
+  void onClosed(const std::string& reason) override {
+    const bool written =
+        connection_.pending() == 0;  // what a connection that never came up had to send waits
+    client_.drop(this);
+    if (sink_) tell(written ? End::kBroken : End::kNotConnected, reason);
+  }
+
+  void fail(End how, const std::string& why) {
+    close();
+    if (sink_) tell(how, why);
+  }
+
+  // Told at the end of this iteration where the call may not have been returned to its owner yet.
+  void tell(End how, const std::string& why) {
+    client_.loop_.defer([sink = std::move(sink_), how, why, alive = client_.alive_] {
+      if (*alive) sink->end(how, why);
+    });
+    sink_.reset();
+  }
+
+  Client& client_;
+  net::Connection connection_;
+  net::Endpoint to_;
+  std::unique_ptr<ResponseParser> parser_;
+  std::shared_ptr<CallSink> sink_;
+  CallId call_ = 0;
+  bool dropped_ = false;
+  Instant idleSince_{}, heardAt_{};
+};
+
+Client::Client(net::Loop& loop, const ClientOptions& options) : loop_(loop), options_(options) {
+  sweepTimer_ = loop_.after(kSweep, [this] { sweep(); });
+}
+
+Client::~Client() {
+  *alive_ = false;
+  loop_.cancel(sweepTimer_);
+}
+
+CallId Client::start(const net::Endpoint& to, const std::string& head,
+                     const std::shared_ptr<const std::string>& body, std::shared_ptr<CallSink> sink) {
+  const CallId call = ++lastCall_;
+  ClientConnection* connection = idleTo(to);
+  if (connection != nullptr) {
+    calls_[call] = connection;
+    connection->begin(call, head, body, std::move(sink));
+    return call;
+  }
+  if (connections_.size() >= options_.maxConnections && !makeRoom()) {
+    loop_.defer([sink = std::move(sink), alive = alive_] {
+      if (*alive) sink->end(End::kNoRoom, "no connection may be opened");
+    });
+    return call;
+  }
+  connections_.push_back(std::make_shared<ClientConnection>(*this, to));
+  connection = connections_.back().get();
+  ++opened_;
+  calls_[call] = connection;
+  connection->open();
+  if (connection->dropped_) {  // at once
+    loop_.defer([sink = std::move(sink), alive = alive_] {
+      if (*alive) sink->end(End::kNotConnected, "no connection");
+    });
+    return call;
+  }
+  connection->begin(call, head, body, std::move(sink));
+  return call;
+}
+
+void Client::cancel(CallId call) {
+  const auto it = calls_.find(call);
+  if (it != calls_.end()) it->second->cancel();
+}
+
+void Client::freeze(CallId call, bool frozen) {
+  const auto it = calls_.find(call);
+  if (it != calls_.end()) it->second->freeze(frozen);
+}
+
+ClientConnection* Client::idleTo(const net::Endpoint& to) {
+  for (auto it = idle_.find(to); it != idle_.end() && !it->second.empty(); it = idle_.find(to)) {
+    ClientConnection* const newest = it->second.back();
+    it->second.pop_back();
+    if (newest->usable()) return newest;
+    if (!newest->dropped_) newest->close();
+  }
+  return nullptr;
+}
+
+bool Client::hasIdle(const net::Endpoint& to) const {
+  const auto it = idle_.find(to);
+  return it != idle_.end() && !it->second.empty();
+}
+
+// Closes the connection that has been idle for longest.
+bool Client::makeRoom() {
+  ClientConnection* oldest = nullptr;
+  for (const auto& c : connections_) {
+    if (c->idle() && (oldest == nullptr || c->idleSince() < oldest->idleSince())) oldest = c.get();
+  }
+  if (oldest == nullptr) return false;
+  oldest->close();
+  return true;
+}
+
+void Client::forget(const net::Endpoint& to) {
+  forgotten_.insert(to);
+  const auto it = idle_.find(to);
+  if (it == idle_.end()) return;
+  for (ClientConnection* const c : std::vector<ClientConnection*>(it->second)) c->close();
+  idle_.erase(to);
+}
+
+void Client::sweep() {
+  const std::list<std::shared_ptr<ClientConnection>> all = connections_;
+  for (const auto& c : all) {
+    if (!c->dropped_) c->look(loop_.now());
+  }
+  sweepTimer_ = loop_.after(kSweep, [this] { sweep(); });
+}
+
+void Client::drop(ClientConnection* connection) {
+  if (std::exchange(connection->dropped_, true)) return;
+  calls_.erase(connection->call_);
+  const auto idle = idle_.find(connection->to());
+  if (idle != idle_.end()) {
+    std::erase(idle->second, connection);
+    if (idle->second.empty()) idle_.erase(idle);
+  }
+  const auto it = std::find_if(connections_.begin(), connections_.end(),
+                               [&](const auto& c) { return c.get() == connection; });
+  loop_.defer([gone = *it] {});
+  connections_.erase(it);
+}
+
+}  // namespace gannetcourse::http1
--- /dev/null
+++ b/src/http1/client.h
@@ -0,0 +1,90 @@
+// HTTP/1.1 towards servers: a pool of connections, one call at a time on each, re-used newest first. Sends
+// nothing again by itself. Knows nothing of what the calls mean.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <list>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "http1/parser.h"
+#include "net/connection.h"
+#include "net/loop.h"
+
+namespace gannetcourse::http1 {
+
+struct ClientOptions {
+  Limits limits;
+  std::size_t maxConnections = 256;  // to all servers together
+  Duration connectTimeout{0.25};
+  Duration idle{7};    // an idle connection is closed after it, well before its server would
+  Duration midway{2};  // silence inside a head or chunk after which the answer counts as spoilt
+};
+
+enum class End {
+  kWhole,         // the answer has come to its end
+  kNoRoom,        // no connection may be opened: nothing was sent
+  kNotConnected,  // never came up, or broke before the request's last byte was written
+  kBroken,        // broke after that
+  kSpoilt         // the answer cannot be read
+};
+
+// What a call tells its owner; nothing after end(), nor after Client::cancel().
+class CallSink {
+ public:
+  virtual ~CallSink() = default;
+  virtual void head(const ResponseHead& head) = 0;
+  virtual void body(std::string_view bytes) = 0;
+  virtual void end(End how, const std::string& why) = 0;
+};
+
+using CallId = std::uint64_t;  // 0 = none
+class ClientConnection;
+
+class Client {
+ public:
+  Client(net::Loop& loop, const ClientOptions& options);
+  ~Client();
+  Client(const Client&) = delete;
+  Client& operator=(const Client&) = delete;
+
+  // Sends `head` (with its empty line) and `body` (may be null).
+  CallId start(const net::Endpoint& to, const std::string& head,
+               const std::shared_ptr<const std::string>& body, std::shared_ptr<CallSink> sink);
+  void cancel(CallId call);  // closes its connection
+  void freeze(CallId call, bool frozen);
+  // Closes what is idle there, and whatever becomes it.
+  void forget(const net::Endpoint& to);
+  void remember(const net::Endpoint& to) { forgotten_.erase(to); }
+  bool hasIdle(const net::Endpoint& to) const;
+  void take(const ClientOptions& options) { options_ = options; }
+
+  std::size_t connections() const { return connections_.size(); }
+  std::size_t calls() const { return calls_.size(); }
+  std::uint64_t opened() const { return opened_; }
+
+ private:
+  friend class ClientConnection;
+  ClientConnection* idleTo(const net::Endpoint& to);
+  bool makeRoom();
+  void sweep();
+  void drop(ClientConnection* connection);
+
+  net::Loop& loop_;
+  ClientOptions options_;
+  std::list<std::shared_ptr<ClientConnection>> connections_;
+  std::map<net::Endpoint, std::vector<ClientConnection*>> idle_;  // newest last
+  std::map<CallId, ClientConnection*> calls_;
+  std::set<net::Endpoint> forgotten_;
+  CallId lastCall_ = 0;
+  std::uint64_t opened_ = 0;
+  net::TimerId sweepTimer_ = 0;
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+}  // namespace gannetcourse::http1
--- /dev/null
+++ b/src/http1/parser.h
@@ -0,0 +1,92 @@
+// HTTP/1.1 messages out of bytes, for both sides, by Boost.Beast's parser. No sockets, clock or services.
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+namespace gannetcourse::http1 {
+
+struct Limits {
+  std::uint32_t head = 16 * 1024;   // bytes of a head
+  std::uint64_t body = 256 * 1024;  // bytes of a body, and of one chunk; 0 = bodies without limit
+  std::size_t ahead = 64 * 1024;    // bytes that may wait behind a message
+};
+
+class Fields {
+ public:
+  void add(std::string name, std::string value);
+  // The value, or null where the field is missing. Names are compared without case.
+  const std::string* find(std::string_view name) const;
+  std::size_t count(std::string_view name) const;
+  void clear() { fields_.clear(); }
+
+ private:
+  std::vector<std::pair<std::string, std::string>> fields_;
+};
+
+struct Request {
+  std::string method, target;
+  Fields fields;
+  std::string body;
+  bool keepAlive = true;
+};
+
+enum class State { kMore, kWhole, kBad };
+
+// One request after another. Lengths that are repeated, conflict, or stand beside a Transfer-Encoding are
+// refused: they may hide a request in a body.
+class RequestParser {
+ public:
+  explicit RequestParser(Limits limits);
+  ~RequestParser();
+  RequestParser(const RequestParser&) = delete;
+  RequestParser& operator=(const RequestParser&) = delete;
+
+  // Keeps the bytes for parse(). False where more wait than the limits allow.
+  bool append(std::string_view bytes);
+  State parse();
+  Request& request();
+  int status() const;          // what to answer to one that is kBad
+  bool started() const;        // bytes of a request that is not whole have come
+  std::uint64_t held() const;  // bytes of memory it keeps for the request
+  void next();                 // after kWhole: what waits behind it is the next request
+
+ private:
+  class Impl;
+  std::unique_ptr<Impl> impl_;
+};
+
+struct ResponseHead {
+  int status = 0;
+  Fields fields;
+};
+
+// One response, its body told as it comes. Answers of 1xx ahead of it are passed over.
+class ResponseParser {
+ public:
+  struct Told {
+    std::function<void(const ResponseHead&)> head;
+    std::function<void(std::string_view)> body;
+  };
+  ResponseParser(Limits limits, Told told);
+  ~ResponseParser();
+  ResponseParser(const ResponseParser&) = delete;
+  ResponseParser& operator=(const ResponseParser&) = delete;
+
+  State take(std::string_view bytes);
+  bool midway() const;    // inside a head or a chunk: more must come
+  bool reusable() const;  // whole, nothing behind it, and its sender keeps the connection
+  bool headSeen() const;
+
+ private:
+  class Impl;
+  std::unique_ptr<Impl> impl_;
+};
+
+}  // namespace gannetcourse::http1
--- /dev/null
+++ b/src/http1/server.h
@@ -0,0 +1,87 @@
+// HTTP/1.1 towards clients: connections within bounds, one request at a time on each, answers whole or as a
+// stream of chunks. Knows nothing of what the requests mean.
+#pragma once
+
+#include <functional>
+#include <list>
+#include <memory>
+#include <string>
+#include <string_view>
+
+#include "http1/parser.h"
+#include "net/connection.h"
+#include "net/loop.h"
+
+namespace gannetcourse::http1 {
+
+struct ServerOptions {
+  Limits limits;
+  std::size_t maxConnections = 512;
+  std::uint64_t maxHeld = 32U << 20;  // bytes of requests that are not whole yet
+  Duration requestWithin{2.2};        // a connection's first request, and the rest of one begun
+  Duration idle{15};                  // a connection without a request is closed after it
+  Duration stalled{20};               // ... and one whose client takes nothing
+};
+
+class ServerConnection;
+
+// A request and its one answer. Kept by whoever answers; after the client has left, answers go nowhere.
+class Exchange {
+ public:
+  explicit Exchange(ServerConnection* connection) : connection_(connection) {}
+  Request request;
+  std::function<void()> onGone;        // the client has left before the answer's end
+  std::function<void(bool)> onPaused;  // it takes nothing more for now, and does again
+
+  // A whole answer. `fields` are lines that end with CRLF.
+  void respond(int status, std::string_view fields, std::string_view body, bool close = false);
+  void begin(std::string_view fields);  // 200, chunked
+  void chunk(std::string_view bytes);
+  void end();
+  void cut();  // closes the connection without the last chunk
+  bool open() const { return connection_ != nullptr; }
+
+ private:
+  friend class ServerConnection;
+  ServerConnection* connection_;
+};
+
+class Server {
+ public:
+  using Handler = std::function<void(std::shared_ptr<Exchange>)>;
+  // Throws std::system_error where the address cannot be had.
+  Server(net::Loop& loop, const net::Endpoint& on, const ServerOptions& options, Handler handler);
+  ~Server();
+  Server(const Server&) = delete;
+  Server& operator=(const Server&) = delete;
+
+  std::uint16_t port() const { return listener_.port(); }
+  void take(const ServerOptions& options);  // bounds only
+  // From now on each answer ends its connection, and those without a request are closed.
+  void drain();
+  void closeListener() { listener_.close(); }
+  std::size_t connections() const { return connections_.size(); }
+  std::size_t busy() const;  // connections with a request, whole or begun
+  std::uint64_t refusedConnections() const { return refused_; }
+
+ private:
+  friend class ServerConnection;
+  using Connections = std::list<std::unique_ptr<ServerConnection>>;
+  void accept(int fd);
+  bool makeRoom();
+  void sweep();
+  void drop(ServerConnection* connection);  // at the end of this iteration
+  std::uint64_t held() const;
+
+  net::Loop& loop_;
+  ServerOptions options_;
+  Handler handler_;
+  Connections connections_;
+  bool draining_ = false;
+  std::uint64_t refused_ = 0;
+  net::TimerId sweepTimer_ = 0;
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+  net::Listener listener_;
+};
+
+}  // namespace gannetcourse::http1
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -5,7 +5,6 @@
 #include <functional>
 #include <memory>
 #include <string>
-#include <unordered_map>
 #include <vector>
 
 #include "config/settings.h"
@@ -15,10 +14,11 @@
 #include "fronts/router_side.h"
 #include "gannetcourse/router.h"
 #include "grpc/server.h"
+#include "node/driver.h"
 
 namespace gannetcourse::node {
 
-class Node final : private fronts::RouterSide, private engines::Sink {
+class Node final : private fronts::RouterSide {
  public:
   struct Hooks {
     std::function<void(const router::Record&)> record;  // each decision; must not block
@@ -33,7 +33,7 @@
   ~Node() override;
 
   std::uint16_t port() const { return server_.port(); }
-  const router::Core& core() const { return core_; }
+  const router::Core& core() const { return driver_.core(); }
   std::size_t engines() const { return merged_.engines().size(); }
 
   // Takes what may change in service, and reads the fleet file again. Throws config::Faults, or
@@ -44,8 +44,8 @@
   void drain(std::function<void()> done);
 
   // For tampering tests.
-  void carryOut(const router::Command& command);
-  void answerTwice(router::RequestKey request);
+  void carryOut(const router::Command& command) { driver_.carryOut(command); }
+  void answerTwice(router::RequestKey request) { driver_.answerTwice(request); }
   net::Loop& loop() override { return loop_; }
   const config::NodeSettings& settings() const override { return settings_; }
   const resume::Sealer& sealer() const override { return sealer_; }
@@ -54,49 +54,30 @@
   // ---- fronts::RouterSide ----
   void open(router::RequestKey key, router::Arrival arrival,
             std::shared_ptr<fronts::ClientSide> client) override;
-  router::RequestKey nextKey() override { return ++lastKey_; }
+  router::RequestKey nextKey() override { return driver_.nextKey(); }
   void clientGone(router::RequestKey request) override;
   void pause(router::RequestKey request, bool paused) override;
   bool serving() const override;
 
-  // ---- engines::Sink ----
-  void readEnded(router::CallKey call, std::string state, double kept,
-                 std::optional<LoadReport> load) override;
-  void token(router::CallKey call, std::uint32_t index, std::string text) override;
-  void callEnded(router::CallKey call, Outcome outcome, double kept, std::optional<LoadReport> load,
-                 const std::string& why, recovery::Ending ending) override;
-  void fenced(router::RequestKey request, int attempt) override;
-  void goesAway(ServerId engine) override;
-  void probeEnded(ServerId engine, Outcome outcome, Duration elapsed,
-                  std::optional<LoadReport> load) override;
-  void seatAnswered(router::RequestKey request, ServerId engine, bool held) override;
-
+  Driver::Hooks driverHooks();
   void takeList(const discovery::EngineList& list);
   void loadLists();
-  void run();  // carries out what the core has to say, and sets its timer
   void checkDrained();
   void log(const char* package, const char* level, const std::string& text);
 
   net::Loop& loop_;
-  bool ending_ = false;  // being destroyed: calls that end with the server are nobody's any more
   config::NodeSettings settings_;
   resume::Sealer sealer_;
   Hooks hooks_;
   discovery::Translator translator_;
-  router::Core core_;
+  Driver driver_;
   engines::Fleet fleet_;
   grpc::Server server_;
   fronts::Health health_;
   discovery::Merged merged_;
   discovery::SavedList saved_;
   std::unique_ptr<discovery::RegistryWatch> registry_;
-  std::unordered_map<router::RequestKey, std::shared_ptr<fronts::ClientSide>> clients_;
-  std::vector<router::Command> commands_;  // being carried out
   std::function<void()> drained_;
-  router::RequestKey lastKey_ = 0;
-  net::TimerId timer_ = 0;
-  Instant timerAt_{};
-  bool running_ = false;
 };
 
 }  // namespace gannetcourse::node
--- /dev/null
+++ b/src/platform/configuration.h
@@ -0,0 +1,38 @@
+// The platform's configuration of one node: a JSON file, or the single variables where there is none.
+#pragma once
+
+#include <cstdint>
+#include <string>
+
+#include "gannetcourse/policy.h"
+#include "instance/instance.h"
+#include "net/connection.h"
+
+namespace gannetcourse::platform {
+
+struct Configuration {
+  std::string name;
+  net::Endpoint listen, discovery;
+  std::uint64_t memoryMb = 192;
+  std::size_t sockets = 1024;
+  Settings policy;
+  instance::Names names;
+  Duration connIdle{15}, connectTimeout{0.25};  // of connections to engines
+  instance::Json known;                         // the list of engines as last had; null = none
+};
+
+// Throws std::runtime_error with one line that names the file, the field and the mend.
+Configuration loadConfiguration(const std::string& path);
+
+// What NODE_CONFIG names. Throws std::runtime_error where the variable is missing.
+std::string configurationPath();
+
+// How many of what a node may hold, out of its limits. Clients' requests are few against the descriptors;
+// what engines may take is more than the open requests, as connections are kept and releases need some too.
+struct Bounds {
+  std::size_t clientConnections = 0, engineConnections = 0, openRequests = 0;
+  std::uint64_t heldBytes = 0;  // of requests, whole or not
+};
+Bounds boundsOf(const Configuration& configuration);
+
+}  // namespace gannetcourse::platform
--- /dev/null
+++ b/src/platform/engines.cpp
@@ -0,0 +1,326 @@
+#include "platform/engines.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace gannetcourse::platform {
+namespace {
+
+using instance::Json;
+
+const Duration kSweep{0.5};
+const Duration kGoneSilent{
+    4};  // a stream of an engine that is off the list, silent for this long, has broken
+const Duration kEverSilent{60};  // ... and any stream after this
+const Duration kForgetGone{30};
+const Duration kReleaseWithin{3};    // a release that no engine took by then is given up
+const Duration kReleaseAnswer{0.4};  // how long one may take to answer
+
+std::string headOf(const char* method, const std::string& target, const net::Endpoint& to,
+                   const std::string& more) {
+  return std::string(method) + " " + target + " HTTP/1.1\r\nHost: " + to.text() + "\r\n" + more + "\r\n";
+}
+
+}  // namespace
+
+Outcome outcomeOf(int status, bool notRun, bool reads) {
+  if (reads && status == 202) return Outcome::kPrefilled;
+  if (status == 410 && notRun) return Outcome::kStateLost;
+  if ((status == 503 || status == 504) && notRun) return Outcome::kRejected;
+  return Outcome::kError;
+}
+
+Outcome outcomeOf(http1::End how) {
+  switch (how) {
+    case http1::End::kNoRoom:
+      return Outcome::kNotSent;
+    case http1::End::kNotConnected:
+      return Outcome::kConnectFailed;
+    default:
+      return Outcome::kReset;  // broken or spoilt: it may have run
+  }
+}
+
+// One attempt's answer: a read's 202, a stream, or a status that ends it.
+class Engines::Attempt final : public http1::CallSink, public std::enable_shared_from_this<Attempt> {
+ public:
+  Attempt(Engines& owner, router::CallKey key, ServerId engine, bool reads)
+      : engine(engine), owner_(owner), key_(key), reads_(reads) {}
+
+  void head(const http1::ResponseHead& head) override {
+    heardAt = owner_.loop_.now();
+    status_ = head.status;
+    const std::string* const turnedAway = head.fields.find("X-Rejected");
+    notRun_ = turnedAway != nullptr && *turnedAway == "1";
+    const std::string* const report = head.fields.find("X-Load-Report");
+    if (report != nullptr) load_ = readLoadReport(*report);
+    streams_ = status_ == 200 && !reads_;
+  }
+
+  void body(std::string_view bytes) override {
+    heardAt = owner_.loop_.now();
+    const std::shared_ptr<Attempt> self = shared_from_this();
+    if (over) return;
+    if (!streams_) {
+      if (text_.size() < kMostText) text_.append(bytes);
+      return;
+    }
+    const bool good = events_.take(bytes, [this](std::string event) {
+      if (!over) owner_.sink_.token(key_, next_++, std::move(event));
+    });
+    if (!good && !over) spoilt("its events cannot be read");
+  }
+
+  void end(http1::End how, const std::string& why) override {
+    const std::shared_ptr<Attempt> self = shared_from_this();
+    if (over) return;
+    if (how != http1::End::kWhole && status_ != 0 && !streams_ && !(reads_ && status_ == 202))
+      return finish(outcomeOf(status_, notRun_, reads_), statusText());  // its head has said it
+    if (how != http1::End::kWhole) return finish(outcomeOf(how), why);
+    if (streams_) {
+      const bool whole = events_.finish();
+      return finish(whole ? Outcome::kOk : Outcome::kReset,
+                    whole ? "" : "its stream ended before its last event");
+    }
+    finish(outcomeOf(status_, notRun_, reads_), statusText());
+  }
+
+  // It cannot be read and has no further use.
+  void spoilt(const char* why) {
+    owner_.client_.cancel(call);
+    finish(Outcome::kReset, why);
+  }
+
+  void abandon() {
+    over = true;
+    owner_.client_.cancel(call);
+  }
+
+  bool midEvent() const { return streams_ && events_.midway(); }
+
+  const ServerId engine;
+  http1::CallId call = 0;
+  Instant heardAt{};
+  bool over = false, paused = false;
+  bool streams() const { return streams_ && next_ > 0; }
+
+ private:
+  static constexpr std::size_t kMostText = 4096;
+
+  std::string statusText() const { return "status " + std::to_string(status_); }
+
+  void finish(Outcome outcome, const std::string& why) {
+    over = true;
+    const std::optional<LoadReport> load = events_.load() ? events_.load() : load_;
+    owner_.ended(key_);
+    if (outcome == Outcome::kPrefilled) {
+      const Json reply = Json::parse(text_, nullptr, false);
+      const bool told =
+          reply.is_object() && reply.contains("cached_tokens") && reply["cached_tokens"].is_number();
+      return owner_.sink_.readEnded(key_, "", told ? reply["cached_tokens"].get<double>() : 0, load);
+    }
+    owner_.sink_.callEnded(key_, outcome, events_.keptTokens(), load, why, recovery::Ending::kTold);
+  }
+
+  Engines& owner_;
+  router::CallKey key_;
+  bool reads_, streams_ = false, notRun_ = false;
+  int status_ = 0;
+  std::uint32_t next_ = 0;
+  std::string text_;
+  EventStream events_;
+  std::optional<LoadReport> load_;
+};
+
+// A call whose body means nothing; its status is told, 0 where it did not come.
+class Engines::Small final : public http1::CallSink {
+ public:
+  explicit Small(std::function<void(int)> then) : then_(std::move(then)) {}
+  void head(const http1::ResponseHead& head) override { status_ = head.status; }
+  void body(std::string_view) override {}
+  void end(http1::End, const std::string&) override { tell(); }
+  void tell() {
+    if (then_) std::exchange(then_, nullptr)(status_);
+  }
+
+ private:
+  std::function<void(int)> then_;
+  int status_ = 0;
+};
+
+struct Engines::Release {
+  std::string id;
+  ServerId engine;
+  Instant until;
+  std::vector<ServerId> tried;
+};
+
+Engines::Engines(net::Loop& loop, const http1::ClientOptions& options, engines::Sink& sink)
+    : loop_(loop), client_(loop, options), sink_(sink) {
+  sweepTimer_ = loop_.after(kSweep, [this] { sweep(); });
+}
+
+Engines::~Engines() {
+  *alive_ = false;
+  loop_.cancel(sweepTimer_);
+  for (auto& [key, attempt] : calls_) attempt->over = true;
+}
+
+void Engines::update(const ToldList& list) {
+  if (list.full) {
+    for (auto& [id, engine] : engines_) engine.gone = true;
+  }
+  for (const ToldEngine& told : list.engines) {
+    const bool gone = told.entry.state == ServerEntry::State::kGone;
+    const auto it = engines_.find(told.entry.id);
+    if (gone && it == engines_.end()) continue;
+    Engine& engine = engines_[told.entry.id];
+    engine.gone = gone;
+    if (gone) continue;
+    if (it != engines_.end() && engine.address != told.address) client_.forget(engine.address);
+    engine.address = told.address;
+    client_.remember(told.address);
+  }
+  for (auto& [id, engine] : engines_) {
+    if (!engine.gone) engine.goneAt = {};
+    if (!engine.gone || engine.goneAt != Instant{}) continue;
+    engine.goneAt = loop_.now();
+    client_.forget(engine.address);
+  }
+}
+
+void Engines::start(const router::StartRead& read) {
+  begin(read.call, read.engine, read.id, read.waits, read.work, true);
+}
+
+void Engines::start(const router::StartWrite& write) {
+  begin(write.call, write.engine, write.id, write.waits, write.work, false);
+}
+
+void Engines::begin(router::CallKey call, ServerId engine, const std::string& id, Duration waits,
+                    const std::shared_ptr<const router::Work>& work, bool reads) {
+  const auto attempt = std::make_shared<Attempt>(*this, call, engine, reads);
+  attempt->heardAt = loop_.now();
+  calls_[call] = attempt;
+  const auto it = engines_.find(engine);
+  if (it == engines_.end()) {
+    loop_.defer([attempt, alive = alive_] {
+      if (*alive) attempt->end(http1::End::kNotConnected, "engine has no address");
+    });
+    return;
+  }
+  const auto budget = static_cast<std::int64_t>(std::max(1.0, std::floor(waits.count() * 1000)));
+  const std::string head = headOf("POST", work->target, it->second.address,
+                                  "X-Call-Id: " + id + "\r\nX-Budget-Ms: " + std::to_string(budget) +
+                                      "\r\nContent-Type: application/json\r\nContent-Length: " +
+                                      std::to_string(work->prompt.size()) + "\r\n");
+  attempt->call = client_.start(it->second.address, head,
+                                std::shared_ptr<const std::string>(work, &work->prompt), attempt);
+}
+
+void Engines::ended(router::CallKey call) { calls_.erase(call); }
+
+void Engines::callOff(router::CallKey call) {
+  const auto node = calls_.extract(call);
+  if (!node.empty()) node.mapped()->abandon();
+}
+
+void Engines::pause(router::CallKey call, bool paused) {
+  const auto it = calls_.find(call);
+  if (it == calls_.end()) return;
+  it->second->paused = paused;
+  it->second->heardAt = loop_.now();
+  client_.freeze(it->second->call, paused);
+}
+
+void Engines::probe(ServerId engine) {
+  loop_.defer([this, alive = alive_, engine] {
+    if (*alive) sink_.probeEnded(engine, Outcome::kNotSent, Duration(0), {});
+  });
+}
+
+void Engines::reserve(const router::ReserveSeat& seat) {
+  const auto it = engines_.find(seat.engine);
+  if (it == engines_.end()) return sink_.seatAnswered(seat.request, seat.engine, false);
+  const auto small =
+      std::make_shared<Small>([this, alive = alive_, key = seat.request, engine = seat.engine](int status) {
+        if (*alive) sink_.seatAnswered(key, engine, status == 200);
+      });
+  client_.start(it->second.address,
+                headOf("POST", "/kv/leases/" + seat.id, it->second.address, "Content-Length: 0\r\n"), nullptr,
+                small);
+}
+
+// ---- Releases: any engine takes one for all, so one that cannot be reached does not hold it up ----
+void Engines::letGo(const router::LetGo& letGo) {
+  ++releases_;
+  release(std::make_shared<Release>(Release{letGo.id, letGo.engine, loop_.now() + kReleaseWithin, {}}));
+}
+
+const Engines::Engine* Engines::nextFor(const Release& what) const {
+  const Engine* best = nullptr;
+  int rank = 4;
+  for (const auto& [id, engine] : engines_) {
+    if (engine.gone || std::find(what.tried.begin(), what.tried.end(), id) != what.tried.end()) continue;
+    const int mine = (client_.hasIdle(engine.address) ? 0 : 2) + (id == what.engine ? 0 : 1);
+    if (mine < rank) best = &engine, rank = mine;
+  }
+  return best;
+}
+
+void Engines::release(const std::shared_ptr<Release>& what) {
+  const Engine* const engine = nextFor(*what);
+  if (engine == nullptr || loop_.now() >= what->until) {
+    --releases_;
+    return;
+  }
+  for (const auto& [id, one] : engines_) {
+    if (&one == engine) what->tried.push_back(id);
+  }
+  const auto small = std::make_shared<Small>([this, alive = alive_, what](int status) {
+    if (!*alive) return;
+    if (status / 100 != 2) return release(what);
+    --releases_;
+  });
+  const http1::CallId call = client_.start(
+      engine->address, headOf("DELETE", "/kv/leases/" + what->id, engine->address, ""), nullptr, small);
+  loop_.after(kReleaseAnswer, [this, alive = alive_, call, small] {
+    if (!*alive) return;
+    client_.cancel(call);
+    small->tell();
+  });
+}
+
+void Engines::sweep() {
+  const Instant now = loop_.now();
+  std::vector<std::shared_ptr<Attempt>> broken;
+  for (const auto& [key, attempt] : calls_) {
+    if (!attempt->streams() || attempt->paused) continue;
+    const auto engine = engines_.find(attempt->engine);
+    const bool gone = engine == engines_.end() || engine->second.gone;
+    const Duration silent = now - attempt->heardAt;
+    if (silent > kEverSilent || (gone && silent > kGoneSilent) ||
+        (attempt->midEvent() && silent > Duration(2)))
+      broken.push_back(attempt);
+  }
+  for (const auto& attempt : broken) {
+    if (!attempt->over) attempt->spoilt("silent");
+  }
+  std::erase_if(engines_, [&](const auto& e) {
+    const bool old = e.second.gone && now - e.second.goneAt > kForgetGone &&
+                     std::none_of(calls_.begin(), calls_.end(),
+                                  [&](const auto& c) { return c.second->engine == e.first; });
+    if (old) client_.remember(e.second.address);  // it may be another's by now
+    return old;
+  });
+  sweepTimer_ = loop_.after(kSweep, [this] { sweep(); });
+}
+
+std::map<ServerId, std::size_t> Engines::openByEngine() const {
+  std::map<ServerId, std::size_t> open;
+  for (const auto& [key, attempt] : calls_) ++open[attempt->engine];
+  return open;
+}
+
+}  // namespace gannetcourse::platform
--- /dev/null
+++ b/src/platform/engines.h
@@ -0,0 +1,77 @@
+// The engines' client over the platform's protocol: carries out the core's calls and tells it how each ended.
+// Decides nothing, sends nothing again.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <unordered_set>
+
+#include "engines/sides.h"
+#include "http1/client.h"
+#include "platform/discovery.h"
+#include "platform/events.h"
+
+namespace gannetcourse::platform {
+
+// How an answer with this status ended its attempt. `notRun`: it says that the request has not run.
+Outcome outcomeOf(int status, bool notRun, bool reads);
+Outcome outcomeOf(http1::End how);
+
+class Engines final : public engines::Caller {
+ public:
+  Engines(net::Loop& loop, const http1::ClientOptions& options, engines::Sink& sink);
+  ~Engines() override;
+  Engines(const Engines&) = delete;
+  Engines& operator=(const Engines&) = delete;
+
+  void update(const ToldList& list);
+  void take(const http1::ClientOptions& options) { client_.take(options); }
+
+  void start(const router::StartRead& read) override;
+  void start(const router::StartWrite& write) override;
+  void callOff(router::CallKey call) override;
+  void reserve(const router::ReserveSeat& seat) override;
+  void letGo(const router::LetGo& letGo) override;
+  void fence(const router::FenceAttempt&) override {
+  }  // the protocol has none: streams do not go on elsewhere
+  void probe(ServerId engine) override;
+  void pause(router::CallKey call, bool paused) override;
+  std::size_t smallCalls() const override { return releases_; }
+
+  // ---- For the node's account of itself ----
+  std::size_t open() const { return calls_.size(); }
+  std::size_t connections() const { return client_.connections(); }
+  std::uint64_t opened() const { return client_.opened(); }
+  std::map<ServerId, std::size_t> openByEngine() const;
+
+ private:
+  class Attempt;
+  class Small;
+  struct Engine {
+    net::Endpoint address;
+    bool gone = false;
+    Instant goneAt{};
+  };
+  struct Release;
+
+  void begin(router::CallKey call, ServerId engine, const std::string& id, Duration waits,
+             const std::shared_ptr<const router::Work>& work, bool reads);
+  void ended(router::CallKey call);
+  void release(const std::shared_ptr<Release>& what);
+  const Engine* nextFor(const Release& what) const;
+  void sweep();
+
+  net::Loop& loop_;
+  http1::Client client_;
+  engines::Sink& sink_;
+  std::map<ServerId, Engine> engines_;
+  std::unordered_map<router::CallKey, std::shared_ptr<Attempt>> calls_;
+  std::size_t releases_ = 0;
+  net::TimerId sweepTimer_ = 0;
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+}  // namespace gannetcourse::platform
--- /dev/null
+++ b/src/platform/events.cpp
@@ -0,0 +1,110 @@
+#include "platform/events.h"
+
+#include <algorithm>
+#include <charconv>
+#include <cmath>
+#include <utility>
+
+#include "instance/instance.h"
+
+namespace gannetcourse::platform {
+namespace {
+
+constexpr std::string_view kData = "data:", kReport = "X-Load-Report:", kEnd = "[DONE]";
+constexpr std::size_t kMostEvent = 64 * 1024;
+
+std::string_view trimmed(std::string_view text) {
+  const auto from = text.find_first_not_of(" \t\r");
+  if (from == std::string_view::npos) return {};
+  return text.substr(from, text.find_last_not_of(" \t\r") - from + 1);
+}
+
+std::size_t pairEnd(std::string_view text) { return std::min(text.size(), text.find(',')); }
+
+// Tokens of the prompt that were found kept, where this event tells.
+std::optional<double> keptIn(std::string_view data) {
+  if (data.find("\"usage\"") == std::string_view::npos) return std::nullopt;
+  const instance::Json event = instance::Json::parse(data, nullptr, false);
+  const instance::Json* at = &event;
+  for (const char* const key : {"usage", "prompt_tokens_details", "cached_tokens"}) {
+    if (!at->is_object() || !at->contains(key)) return std::nullopt;
+    at = &(*at)[key];
+  }
+  return at->is_number() ? std::optional<double>(at->get<double>()) : std::nullopt;
+}
+
+}  // namespace
+
+std::optional<LoadReport> readLoadReport(std::string_view text) {
+  text = trimmed(text);
+  constexpr std::string_view kForm = "TEXT ";
+  if (text.substr(0, kForm.size()) != kForm) return std::nullopt;
+  text.remove_prefix(kForm.size());
+  LoadReport load;
+  while (!text.empty()) {
+    const std::string_view pair = trimmed(text.substr(0, pairEnd(text)));
+    text.remove_prefix(std::min(text.size(), pairEnd(text) + 1));
+    const auto equals = pair.find('=');
+    if (equals == std::string_view::npos) return std::nullopt;
+    const std::string_view digits = trimmed(pair.substr(equals + 1));
+    double value = 0;
+    const auto [end, fault] = std::from_chars(digits.data(), digits.data() + digits.size(), value);
+    const bool whole = fault == std::errc() && end == digits.data() + digits.size() && !digits.empty();
+    if (!whole || !std::isfinite(value) || value < 0) return std::nullopt;
+    const std::string_view name = trimmed(pair.substr(0, equals));
+    instance::take(load, std::string(name.substr(name.rfind('.') + 1)), value);
+  }
+  return load;
+}
+
+bool EventStream::take(std::string_view bytes, const std::function<void(std::string event)>& tell) {
+  rest_.append(bytes);
+  std::size_t from = 0;
+  for (;;) {
+    const std::size_t end = rest_.find("\n\n", from);
+    if (end == std::string::npos) break;
+    if (!takeEvent(std::string_view(rest_).substr(from, end + 2 - from), tell)) return false;
+    from = end + 2;
+  }
+  rest_.erase(0, from);
+  // What has begun must already look like an event.
+  const std::size_t told = std::min(rest_.size(), kData.size());
+  const bool begins = rest_.empty() || rest_[0] == ':' || rest_[0] == '\n' ||
+                      std::string_view(rest_).substr(0, told) == kData.substr(0, told);
+  return begins && rest_.size() <= kMostEvent;
+}
+
+bool EventStream::takeEvent(std::string_view event, const std::function<void(std::string event)>& tell) {
+  std::string told;
+  bool data = false;
+  while (!event.empty()) {
+    const std::size_t end = event.find('\n');
+    const std::string_view raw = event.substr(0, end == std::string_view::npos ? event.size() : end + 1);
+    const std::string_view line = trimmed(raw.substr(0, end));
+    event.remove_prefix(raw.size());
+    if (!line.empty() && line[0] == ':') {
+      takeComment(trimmed(line.substr(1)));
+      continue;
+    }
+    told.append(raw);
+    if (line.empty()) continue;
+    if (line.substr(0, kData.size()) != kData) return false;
+    data = true;
+    const std::string_view value = trimmed(line.substr(kData.size()));
+    if (value == kEnd) ended_ = true;
+    if (const auto kept = keptIn(value)) kept_ = *kept;
+  }
+  if (data) tell(std::move(told));
+  return true;
+}
+
+void EventStream::takeComment(std::string_view comment) {
+  if (comment.substr(0, kReport.size()) == kReport) load_ = readLoadReport(comment.substr(kReport.size()));
+}
+
+bool EventStream::finish() {
+  const std::string rest = std::exchange(rest_, {});
+  return takeEvent(rest, [](const std::string&) {}) && ended_;
+}
+
+}  // namespace gannetcourse::platform
--- /dev/null
+++ b/src/platform/front.cpp
@@ -0,0 +1,224 @@
+#include "platform/front.h"
+
+#include <charconv>
+#include <cstdio>
+#include <utility>
+
+namespace gannetcourse::platform {
+namespace {
+
+using instance::Json;
+
+constexpr std::string_view kChat = "/v1/chat/completions";
+constexpr std::string_view kEvents = "Content-Type: text/event-stream\r\n";
+constexpr std::uint64_t kMostTokens = 1U << 24;
+constexpr std::uint64_t kMostBudgetMs = 3'600'000;
+constexpr std::size_t kMostId = 128;
+
+std::optional<std::uint64_t> numberIn(std::string_view text, std::uint64_t most) {
+  std::uint64_t value = 0;
+  const auto [end, fault] = std::from_chars(text.data(), text.data() + text.size(), value);
+  if (fault != std::errc() || end != text.data() + text.size() || text.empty() || value > most)
+    return std::nullopt;
+  return value;
+}
+
+bool isId(const std::string& text) {
+  if (text.empty() || text.size() > kMostId) return false;
+  return std::all_of(text.begin(), text.end(), [](unsigned char c) {
+    return std::isalnum(c) != 0 || c == '-' || c == '_' || c == '.';
+  });
+}
+
+// "prefix=HEX,prompt_len=N,prefix_len=N,max_out=N"; unknown names are passed over. False where one is wrong.
+bool readInfo(std::string_view text, router::Arrival& arrival, router::Work& work) {
+  while (!text.empty()) {
+    const auto comma = std::min(text.size(), text.find(','));
+    const std::string_view pair = text.substr(0, comma);
+    text.remove_prefix(std::min(text.size(), comma + 1));
+    const auto equals = pair.find('=');
+    if (equals == std::string_view::npos) return false;
+    const std::string_view name =
+        pair.substr(pair.find_first_not_of(' '), equals - pair.find_first_not_of(' '));
+    const std::string_view value = pair.substr(equals + 1);
+    if (name == "prefix") {
+      const auto key = instance::hexKey(std::string(value));
+      if (!key) return false;
+      arrival.prefix = *key;
+      continue;
+    }
+    std::uint32_t* const field = name == "prompt_len"   ? &work.promptTokens
+                                 : name == "prefix_len" ? &work.prefixTokens
+                                 : name == "max_out"    ? &work.maxOutputTokens
+                                                        : nullptr;
+    if (field == nullptr) continue;
+    const auto number = numberIn(value, kMostTokens);
+    if (!number) return false;
+    *field = static_cast<std::uint32_t>(*number);
+  }
+  return true;
+}
+
+const std::string& valueOf(const http1::Fields& fields, const char* name) {
+  static const std::string kNone;
+  const std::string* const value = fields.find(name);
+  return value == nullptr ? kNone : *value;
+}
+
+std::string retryAfterLine(Duration advice) {
+  if (advice.count() <= 0) return {};
+  char text[48];
+  std::snprintf(text, sizeof text, "Retry-After: %.3f\r\n", advice.count());
+  return text;
+}
+
+}  // namespace
+
+std::variant<router::Arrival, Fault> readArrival(http1::Request& request, const instance::Names& names) {
+  const http1::Fields& fields = request.fields;
+  for (const char* const once : {"X-Call-Id", "X-Call-Class", "X-Route-Hash", "X-Budget-Ms", "X-Call-Info"}) {
+    if (fields.count(once) > 1) return Fault{400, std::string(once) + " comes more than once"};
+  }
+  router::Arrival arrival;
+  auto work = std::make_shared<router::Work>();
+  arrival.id = valueOf(fields, "X-Call-Id");
+  if (!isId(arrival.id)) return Fault{400, "X-Call-Id is missing or no id"};
+  work->requestClass = valueOf(fields, "X-Call-Class");
+  const auto classIndex = instance::position(names.classes, work->requestClass);
+  if (!classIndex) return Fault{400, "X-Call-Class is missing or unknown"};
+  arrival.classIndex = *classIndex;
+  const std::string& tenant = valueOf(fields, "X-Caller");
+  if (!tenant.empty()) arrival.tenant = instance::position(names.tenants, tenant);
+  work->tenant = tenant;
+  const auto budget = numberIn(valueOf(fields, "X-Budget-Ms"), kMostBudgetMs);
+  if (!budget || *budget == 0) return Fault{400, "X-Budget-Ms is missing or no number of milliseconds"};
+  arrival.timeLeft = Duration(static_cast<double>(*budget) / 1000);
+  arrival.untilFirstToken = true;
+  const std::string& session = valueOf(fields, "X-Route-Hash");
+  const auto key = instance::hexKey(session);
+  if (!session.empty() && !key) return Fault{400, "X-Route-Hash is no key of hex digits"};
+  arrival.session = key.value_or(0);
+  arrival.isRetry = !valueOf(fields, "X-Again").empty();
+  const std::string& hint = valueOf(fields, "X-Call-Cost");
+  const auto cost = numberIn(hint, UINT64_MAX);
+  if (cost && *cost > 0) arrival.answerHint = Duration(static_cast<double>(*cost) * 1e-6);
+  if (!readInfo(valueOf(fields, "X-Call-Info"), arrival, *work))
+    return Fault{400, "X-Call-Info cannot be read"};
+  if (request.body.empty() || request.body.front() != '{' || !Json::accept(request.body))
+    return Fault{400, "the body is no JSON object"};
+  if (work->promptTokens == 0) work->promptTokens = static_cast<std::uint32_t>(request.body.size() / 4);
+  work->target = std::move(request.target);
+  work->prompt = std::move(request.body);
+  arrival.work = std::move(work);
+  return arrival;
+}
+
+// A request that the core has. The head goes out with the first event.
+class Front::Client final : public fronts::ClientSide {
+ public:
+  Client(Front& front, std::shared_ptr<http1::Exchange> exchange, std::string id, std::uint64_t bytes)
+      : front_(front), exchange_(std::move(exchange)), id_(std::move(id)), bytes_(bytes) {
+    front_.ids_.insert(id_);
+    front_.held_ += bytes_;
+  }
+  ~Client() override { leave(); }
+
+  void deliver(const router::Deliver& event) override {
+    if (!std::exchange(begun_, true)) exchange_->begin(kEvents);
+    exchange_->chunk(event.text);
+  }
+
+  void answer(const router::Answer& answer) override {
+    leave();
+    exchange_->onGone = nullptr;
+    if (begun_) {
+      answer.verdict == router::Verdict::kServed ? exchange_->end() : exchange_->cut();
+    } else if (answer.verdict == router::Verdict::kRefused) {
+      exchange_->respond(503, retryAfterLine(answer.retryAfter), answer.why + "\n");
+    } else {
+      exchange_->respond(answer.verdict == router::Verdict::kDeadline ? 504 : 502, "", answer.why + "\n");
+    }
+  }
+
+ private:
+  void leave() {
+    if (std::exchange(left_, true)) return;
+    front_.ids_.erase(id_);
+    front_.held_ -= bytes_;
+  }
+
+  Front& front_;
+  std::shared_ptr<http1::Exchange> exchange_;
+  std::string id_;
+  std::uint64_t bytes_;
+  bool begun_ = false, left_ = false;
+};
+
+namespace {
+
+http1::ServerOptions serverOptions(const Configuration& configuration) {
+  const Bounds bounds = boundsOf(configuration);
+  http1::ServerOptions options;
+  options.maxConnections = bounds.clientConnections;
+  options.maxHeld = bounds.heldBytes / 2;
+  return options;
+}
+
+}  // namespace
+
+Front::Front(net::Loop& loop, const Configuration& configuration, node::Driver& driver)
+    : driver_(driver),
+      names_(configuration.names),
+      bounds_(boundsOf(configuration)),
+      retryAfter_(configuration.policy.retryAfterHeeded ? configuration.policy.maxRetryAfter : Duration(0)),
+      server_(loop, configuration.listen, serverOptions(configuration),
+              [this](const std::shared_ptr<http1::Exchange>& exchange) { handle(exchange); }) {}
+
+void Front::take(const Configuration& configuration) {
+  names_ = configuration.names;
+  bounds_ = boundsOf(configuration);
+  retryAfter_ = configuration.policy.retryAfterHeeded ? configuration.policy.maxRetryAfter : Duration(0);
+  server_.take(serverOptions(configuration));
+}
+
+void Front::drain() {
+  draining_ = true;
+  server_.drain();
+}
+
+void Front::turnAway(http1::Exchange& exchange, const Fault& fault) {
+  ++turnedAway_;
+  const std::string line = fault.status == 503 ? retryAfterLine(retryAfter_) : "";
+  exchange.respond(fault.status, line, fault.why + "\n", true);
+}
+
+void Front::handle(const std::shared_ptr<http1::Exchange>& exchange) {
+  const http1::Request& request = exchange->request;
+  const std::string path = request.target.substr(0, request.target.find('?'));
+  const bool serves = ready_ && !draining_;
+  if (path == kChat) {
+    if (request.method != "POST") return turnAway(*exchange, {405, "only POST is served here"});
+    return handleChat(exchange);
+  }
+  if (path == "/-/ready")
+    return exchange->respond(serves ? 200 : 503, "", serves ? "ready\n" : "not ready\n");
+  if (path == "/-/healthy") return exchange->respond(200, "", "healthy\n");
+  turnAway(*exchange, {404, "nothing is served at this path"});
+}
+
+void Front::handleChat(const std::shared_ptr<http1::Exchange>& exchange) {
+  auto read = readArrival(exchange->request, names_);
+  if (const Fault* const fault = std::get_if<Fault>(&read)) return turnAway(*exchange, *fault);
+  router::Arrival& arrival = std::get<router::Arrival>(read);
+  if (ids_.count(arrival.id) > 0) return turnAway(*exchange, {409, "X-Call-Id is that of an open request"});
+  const std::uint64_t bytes = arrival.work->prompt.size();
+  if (ids_.size() >= bounds_.openRequests || held_ + bytes > bounds_.heldBytes)
+    return turnAway(*exchange, {503, "the node has all that it can hold"});
+  const router::RequestKey key = arrival.key = driver_.nextKey();
+  auto client = std::make_shared<Client>(*this, exchange, arrival.id, bytes);
+  exchange->onGone = [this, key] { driver_.clientGone(key); };
+  exchange->onPaused = [this, key](bool paused) { driver_.pause(key, paused); };
+  driver_.open(key, std::move(arrival), std::move(client));
+}
+
+}  // namespace gannetcourse::platform
--- /dev/null
+++ b/src/platform/node.cpp
@@ -0,0 +1,121 @@
+#include "platform/node.h"
+
+#include <utility>
+
+namespace gannetcourse::platform {
+namespace {
+
+using instance::Json;
+
+const Duration kLinger{1.2};  // after SIGTERM new connections keep coming for a while: each gets its answer
+const Duration kReport{10};   // between two lines of the node's account
+const Duration kAnswerMargin{0.01};
+
+http1::ClientOptions clientOptions(const Configuration& c) {
+  http1::ClientOptions options;
+  options.maxConnections = boundsOf(c).engineConnections;
+  options.connectTimeout = c.connectTimeout;
+  options.idle = c.connIdle / 2;
+  return options;
+}
+
+router::Options coreOptions(const Configuration& c, bool records) {
+  router::Options options;
+  options.node = c.name;
+  options.answerMargin = kAnswerMargin;
+  options.records = records;
+  options.recovery.enabled = false;  // the events of one engine's stream, unchanged
+  return options;
+}
+
+}  // namespace
+
+Node::Node(net::Loop& loop, Configuration configuration, Log log,
+           std::function<void(const router::Record&)> record)
+    : loop_(loop),
+      configuration_(std::move(configuration)),
+      log_(std::move(log)),
+      clock_(net::monotonicNow(), net::unixMillis()),
+      driver_(loop, configuration_.policy, coreOptions(configuration_, record != nullptr),
+              node::Driver::Hooks{record, {}, {}, [this] { checkDrained(); }, {}}),
+      engines_(loop, clientOptions(configuration_), driver_),
+      front_(loop, configuration_, driver_) {
+  driver_.use(engines_);
+  takeList(configuration_.known.is_object() ? configuration_.known : Json::object(), true);
+  watch(index_);
+  front_.ready(true);
+  report();
+}
+
+Node::~Node() {
+  driver_.end();
+  loop_.cancel(reportTimer_);
+}
+
+void Node::watch(std::uint64_t from) {
+  watch_ = std::make_unique<Watch>(loop_, configuration_.discovery, from,
+                                   [this](const std::string& line) { takeLine(line); });
+}
+
+void Node::takeLine(const std::string& line) {
+  const Json object = Json::parse(line, nullptr, false);
+  if (object.is_discarded()) return log_("discovery", "warn", "a line of the watch is no JSON");
+  takeList(object, false);
+}
+
+void Node::takeList(const Json& object, bool saved) {
+  const auto list = readTargets(object, configuration_.names, clock_);
+  if (!list) return log_("discovery", "warn", "an object of the watch cannot be read");
+  index_ = list->index;
+  if (watch_) watch_->reached(index_);
+  engines_.update(*list);
+  ServerList told = list->forPolicy();
+  if (saved) told.scope = ServerList::Scope::kSaved;
+  driver_.step([&](router::Core& core, Instant now) { core.serverList(now, told); });
+}
+
+void Node::reload(Configuration fresh) {
+  fresh.name = configuration_.name;
+  fresh.listen = configuration_.listen;
+  driver_.step([&](router::Core& core, Instant now) { core.reconfigure(now, fresh.policy); });
+  const bool moved = fresh.discovery != configuration_.discovery;
+  configuration_ = std::move(fresh);
+  engines_.take(clientOptions(configuration_));
+  front_.take(configuration_);
+  if (moved) watch(index_);
+}
+
+void Node::drain(std::function<void()> done) {
+  if (drained_) return;
+  drained_ = std::move(done);
+  drainAt_ = loop_.now();
+  driver_.step([](router::Core& core, Instant now) { core.drain(now); });
+  front_.drain();
+}
+
+void Node::checkDrained() {
+  if (!drained_ || loop_.now() - drainAt_ < kLinger) return;
+  if (core().owed() > 0 || engines_.smallCalls() > 0 || front_.server().busy() > 0) return;
+  loop_.defer(std::exchange(drained_, nullptr));
+}
+
+std::string Node::account() const {
+  const router::Counts& c = core().counts();
+  return "taken=" + std::to_string(c.taken) + " served=" + std::to_string(c.served) +
+         " refused=" + std::to_string(c.refused) + " failed=" + std::to_string(c.failed) +
+         " deadline=" + std::to_string(c.deadline) + " gone=" + std::to_string(c.clientsGone) +
+         " turned_away=" + std::to_string(front_.turnedAway()) + " attempts=" + std::to_string(c.attempts) +
+         " guarded=" + std::to_string(c.guarded) + " open=" + std::to_string(core().open()) +
+         " calls_open=" + std::to_string(engines_.open()) +
+         " releases_open=" + std::to_string(engines_.smallCalls()) +
+         " client_connections=" + std::to_string(front_.server().connections()) +
+         " engine_connections=" + std::to_string(engines_.connections()) +
+         " engine_connections_opened=" + std::to_string(engines_.opened());
+}
+
+void Node::report() {
+  log_("node", "info", account());
+  reportTimer_ = loop_.after(kReport, [this] { report(); });
+}
+
+}  // namespace gannetcourse::platform
--- /dev/null
+++ b/src/platform/node.h
@@ -0,0 +1,62 @@
+// A whole node on the platform's protocol: front, core, engines' client and discovery on one loop. The same
+// core and module as every other node; only the protocol differs.
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "node/driver.h"
+#include "platform/configuration.h"
+#include "platform/discovery.h"
+#include "platform/engines.h"
+#include "platform/front.h"
+
+namespace gannetcourse::platform {
+
+class Node {
+ public:
+  using Log =
+      std::function<void(const std::string& package, const std::string& level, const std::string& text)>;
+  // Listens, takes the known list and opens the watch. Throws std::system_error where it cannot listen.
+  Node(net::Loop& loop, Configuration configuration, Log log,
+       std::function<void(const router::Record&)> record = nullptr);
+  ~Node();
+  Node(const Node&) = delete;
+  Node& operator=(const Node&) = delete;
+
+  // Takes a new configuration: settings, limits and where discovery is. Name and address stay as they are.
+  // Throws std::invalid_argument where a class or tenant lost its place; then everything stays as it was.
+  void reload(Configuration configuration);
+  // Nothing new; `done` is told once connections have stopped coming and every taken request has its answer.
+  void drain(std::function<void()> done);
+
+  std::uint16_t port() const { return front_.port(); }
+  const router::Core& core() const { return driver_.core(); }
+  const Engines& engines() const { return engines_; }
+  const Front& front() const { return front_; }
+  // One line of what is open on the sockets and what the core has of it, for the log.
+  std::string account() const;
+
+ private:
+  void takeLine(const std::string& line);
+  void takeList(const instance::Json& object, bool saved);
+  void watch(std::uint64_t from);
+  void checkDrained();
+  void report();
+
+  net::Loop& loop_;
+  Configuration configuration_;
+  Log log_;
+  Clock clock_;
+  node::Driver driver_;
+  Engines engines_;
+  Front front_;
+  std::unique_ptr<Watch> watch_;
+  std::uint64_t index_ = 0;
+  std::function<void()> drained_;
+  Instant drainAt_{};
+  net::TimerId reportTimer_ = 0;
+};
+
+}  // namespace gannetcourse::platform
--- a/src/router/core.cpp
+++ b/src/router/core.cpp
@@ -98,6 +98,7 @@
     r.name = r.id = r.policyId = options_.node + "-" + std::to_string(++lastName_);
     r.work = a.work;
     r.end = now_ + a.timeLeft;
+    if (!a.id.empty()) r.id = a.id;
     r.asked = std::move(a);
     names_.emplace(r.policyId, r.key);
     record(r, "taken", {}, -1, r.work->requestClass);
@@ -170,6 +171,8 @@
     const Call call = dropCall(it);
     Request& r = *call.owner;
     if (outcome == Outcome::kStateLost) r.stateAt.reset();
+    // The read may have ended well just as it was lost: what it has left is let go by name.
+    if (call.reads && outcome == Outcome::kReset) out_.emplace_back(LetGo{r.id, call.attempt, call.engine});
     AttemptEnded ended{RequestId{r.policyId},
                        call.attempt - r.firstNumber,
                        call.engine,
@@ -311,11 +314,11 @@
     const TimerAt timer = timers_.emplace(now_ + timeout, Timer{Due::kAttempt, key, {}});
     calls_.emplace(key, Call{r, number, a.server, reads, now_, timer});
     if (reads) {
-      out_.emplace_back(StartRead{key, r->key, r->id, number, a.server, left, r->work});
+      out_.emplace_back(StartRead{key, r->key, r->id, number, a.server, left, timeout, r->work});
     } else {
       if (r->seatAt && *r->seatAt != a.server) letGoSeat(*r);
       out_.emplace_back(StartWrite{key, r->key, r->id, number, a.server, r->stateAt,
-                                   r->stateAt ? r->state : "", left, r->work});
+                                   r->stateAt ? r->state : "", left, timeout, r->work});
     }
     record(*r, reads ? "read" : "write", a.server, number);
   }
@@ -387,6 +390,7 @@
 
   void streamStarted(Request& r, Call& call) {
     stop(call.timer);  // the stream belongs to the client now
+    if (r.asked.untilFirstToken) stop(r.timer);
     const ServerId engine = call.engine;
     if (recovery_.continues(r.asked.classIndex)) {
       r.sent.reserve(kUsualText);
--- a/wirehost/wire.cpp
+++ b/wirehost/wire.cpp
@@ -1,83 +1,32 @@
 #include "wire.h"
 
-#include <cmath>
 #include <map>
 #include <nlohmann/json.hpp>
-#include <stdexcept>
 #include <string>
 #include <vector>
 
 #include "gannetcourse/policy.h"
+#include "instance/instance.h"
 
 namespace gannetcourse::wire {
 namespace {
 
-using Json = nlohmann::json;
-
-struct Malformed : std::runtime_error {
-  using std::runtime_error::runtime_error;
-};
-
-const Json* find(const Json& object, const char* key) {
-  const auto it = object.find(key);
-  return it == object.end() || it->is_null() ? nullptr : &*it;
-}
-
-const Json& need(const Json& object, const char* key) {
-  const Json* value = find(object, key);
-  if (value == nullptr) throw Malformed(std::string("field '") + key + "' is missing");
-  return *value;
-}
-
-[[noreturn]] void wrongType(const char* key, const char* wanted) {
-  throw Malformed(std::string("field '") + key + "' is not " + wanted);
-}
-
-std::string asText(const Json& value, const char* key) {
-  if (!value.is_string()) wrongType(key, "a string");
-  return value.get<std::string>();
-}
-
-double asNumber(const Json& value, const char* key) {
-  if (!value.is_number()) wrongType(key, "a number");
-  return value.get<double>();
-}
-
-bool asBool(const Json& value, const char* key) {
-  if (!value.is_boolean()) wrongType(key, "true or false");
-  return value.get<bool>();
-}
-
-std::uint64_t asUnsigned(const Json& value, const char* key, std::uint64_t most) {
-  if (!value.is_number_unsigned() || value.get<std::uint64_t>() > most) wrongType(key, "an integer in range");
-  return value.get<std::uint64_t>();
-}
-
-std::string text(const Json& object, const char* key) { return asText(need(object, key), key); }
-
-double number(const Json& object, const char* key, double otherwise) {
-  const Json* value = find(object, key);
-  return value == nullptr ? otherwise : asNumber(*value, key);
-}
-
-Duration seconds(const Json& object, const char* key, double otherwise) {
-  return Duration(number(object, key, otherwise));
-}
-
-bool flag(const Json& object, const char* key) {
-  const Json* value = find(object, key);
-  return value != nullptr && asBool(*value, key);
-}
-
-std::string word(const Json& object, const char* key, const char* otherwise) {
-  const Json* value = find(object, key);
-  return value == nullptr ? otherwise : asText(*value, key);
-}
-
-std::size_t integer(const Json& object, const char* key, std::uint64_t otherwise, std::uint64_t most) {
-  const Json* value = find(object, key);
-  return value == nullptr ? otherwise : asUnsigned(*value, key, most);
-}
+using instance::asNumber;
+using instance::asUnsigned;
+using instance::find;
+using instance::flag;
+using instance::integer;
+using instance::Json;
+using instance::list;
+using instance::Malformed;
+using instance::Names;
+using instance::need;
+using instance::number;
+using instance::position;
+using instance::seconds;
+using instance::text;
+using instance::word;
+using instance::wrongType;
 
 int attemptNumber(const Json& fields) { return static_cast<int>(integer(fields, "sendNo", 0, 1U << 30)); }
 
@@ -87,153 +36,6 @@
 
 RequestId requestId(const Json& fields) { return {text(fields, "tid")}; }
 
-std::uint64_t key(const Json& object, const char* name) {
-  const Json* value = find(object, name);
-  if (value == nullptr) return 0;
-  const std::string digits = asText(*value, name);
-  if (digits.empty() || digits.size() > 16 ||
-      digits.find_first_not_of("0123456789abcdefABCDEF") != std::string::npos) {
-    wrongType(name, "a key of hex digits");
-  }
-  return std::stoull(digits, nullptr, 16);
-}
-
-const Json& part(const Json& object, const char* name) {
-  static const Json kEmpty = Json::object();
-  const Json* value = find(object, name);
-  if (value == nullptr) return kEmpty;
-  if (!value->is_object()) wrongType(name, "an object");
-  return *value;
-}
-
-const Json& list(const Json& object, const char* name) {
-  static const Json kEmpty = Json::array();
-  const Json* value = find(object, name);
-  if (value == nullptr) return kEmpty;
-  if (!value->is_array()) wrongType(name, "an array");
-  return *value;
-}
-
-std::optional<std::size_t> position(const std::vector<std::string>& names, const std::string& name) {
-  for (std::size_t i = 0; i < names.size(); ++i) {
-    if (names[i] == name) return i;
-  }
-  return std::nullopt;
-}
-
-// The names of one instance's settings, which the interface knows by number only.
-struct Names {
-  std::vector<std::string> classes, tenants, zones, kinds, roles;
-  std::vector<double> memory;
-  std::vector<double> tokenAim;
-};
-
-std::vector<std::string> strings(const Json& object, const char* name) {
-  std::vector<std::string> values;
-  for (const Json& value : list(object, name)) values.push_back(asText(value, name));
-  return values;
-}
-
-std::vector<double> numbers(const Json& object, const char* name) {
-  std::vector<double> values;
-  for (const Json& value : list(object, name)) values.push_back(asNumber(value, name));
-  return values;
-}
-
-Effect effectOf(const std::string& name) {
-  if (name == "idempotent") return Effect::kSafe;
-  if (name == "deduplicated") return Effect::kKeyed;
-  if (name == "at_most_once") return Effect::kUnsafe;
-  throw Malformed("unknown idempotency '" + name + "'");
-}
-
-DedupGroup groupOf(const std::string& name) {
-  if (name == "all") return DedupGroup::kAll;
-  if (name == "zone") return DedupGroup::kZone;
-  if (name == "cell") return DedupGroup::kCell;
-  throw Malformed("unknown group '" + name + "'");
-}
-
-Role roleOf(const std::string& name) {
-  if (name == "read") return Role::kPrefill;
-  if (name == "write") return Role::kDecode;
-  return name == "both" ? Role::kMixed : Role::kUnknown;
-}
-
-std::vector<ClassSettings> readClasses(const Json& options, const Json& family, Names& names) {
-  const std::vector<double> perThousand = numbers(family, "aimUsPer1000PromptTokens");
-  names.tokenAim = numbers(family, "tokenAimS");
-  std::vector<ClassSettings> classes;
-  for (const Json& entry : list(options, "classes")) {
-    if (!entry.is_object()) wrongType("classes", "an array of objects");
-    const std::size_t at = classes.size();
-    names.classes.push_back(text(entry, "name"));
-    ClassSettings one;
-    one.aim = Duration(asNumber(need(entry, "aimS"), "aimS"));
-    if (at < perThousand.size()) one.aimPerToken = Duration(perThousand[at] * 1e-9);
-    if (at < names.tokenAim.size()) one.tokenAim = Duration(names.tokenAim[at]);
-    one.worth = number(entry, "worth", 1);
-    one.lateWorth = number(entry, "lateWorth", 0);
-    one.effect = effectOf(text(entry, "idempotency"));
-    one.group = groupOf(word(entry, "group", "all"));
-    one.dedupWindow = seconds(entry, "dedupWindowS", 0);
-    classes.push_back(one);
-  }
-  return classes;
-}
-
-std::vector<TenantSettings> readTenants(const Json& options, Names& names) {
-  std::vector<TenantSettings> tenants;
-  for (const Json& entry : list(options, "tenants")) {
-    if (!entry.is_object()) wrongType("tenants", "an array of objects");
-    names.tenants.push_back(text(entry, "name"));
-    tenants.push_back({number(entry, "portion", 0), number(entry, "quotaRps", 0)});
-  }
-  return tenants;
-}
-
-Settings readSettings(const Json& fields, Names& names) {
-  const Json& options = need(fields, "options");
-  if (!options.is_object()) wrongType("options", "an object");
-  const Json& family = part(options, "familyInfo");
-  const Json& limits = part(options, "limits");
-  const Json& rules = part(options, "rules");
-  Settings s;
-  s.seed = asUnsigned(need(fields, "prng"), "prng", UINT64_MAX);
-  s.nodes = static_cast<int>(integer(options, "balancers", 1, 1U << 20));
-  names.zones = strings(options, "zones");
-  names.kinds = strings(options, "kinds");
-  names.roles = strings(family, "kindRole");
-  names.memory = numbers(family, "kindMemoryTokens");
-  s.zone = static_cast<std::uint32_t>(
-      position(names.zones, word(options, "zone", "")).value_or(names.zones.size()));
-  s.classes = readClasses(options, family, names);
-  s.tenants = readTenants(options, names);
-  s.overShareWorth = number(options, "overShareWorth", 1);
-  s.worthByWork = word(options, "worthBy", "request") == "work";
-  s.askDiscovery = word(options, "membershipMode", "push") == "ask";
-  const std::string via = word(part(options, "reporting"), "via", "silent");
-  s.reporting = via == "piggyback" ? Reporting::kAnswers
-                : via == "pull"    ? Reporting::kProbes
-                                   : Reporting::kNone;
-  s.probesAllowed = flag(limits, "probes");
-  s.cancelAllowed = flag(limits, "mayCancel");
-  s.reserveAllowed = flag(family, "mayReserve");
-  s.retryAfterHeeded = flag(limits, "retryAfter");
-  s.decodeMayPrefill = flag(family, "selfPrefill");
-  s.maxAttempts = static_cast<int>(integer(limits, "maxAttempts", 1, 1U << 20));
-  s.maxRetryAfter = seconds(limits, "maxRetryAfterS", 0);
-  s.pinLimit = seconds(family, "pinLimitS", 0);
-  s.answerSlack = seconds(rules, "answerSlackS", 0);
-  s.tick = seconds(options, "tickS", 0);
-  s.coldWindow = seconds(rules, "fallS", 0);
-  s.coldOverloadFactor = number(rules, "overloadFactor", 1);
-  s.coldStartCapacity = number(rules, "startCapacity", 1);
-  s.coldWarmAfter = seconds(rules, "warmAfterS", 0);
-  s.probePrice = number(part(options, "tariffs"), "probe", 0);
-  return s;
-}
-
 ServerEntry readEntry(const Json& entry, const Names& names) {
   if (!entry.is_object()) wrongType("lines", "an array of objects");
   ServerEntry s;
@@ -248,11 +50,7 @@
   } else {
     throw Malformed("unknown status '" + status + "'");
   }
-  const auto kind = position(names.kinds, word(entry, "classOfHost", ""));
-  if (kind && *kind < names.roles.size()) s.role = roleOf(names.roles[*kind]);
-  if (kind && *kind < names.memory.size()) s.memoryTokens = names.memory[*kind];
-  s.zone = static_cast<std::uint32_t>(
-      position(names.zones, word(entry, "rackZone", "")).value_or(names.zones.size()));
+  names.describe(s, word(entry, "classOfHost", ""), word(entry, "rackZone", ""));
   s.cell = static_cast<std::uint32_t>(integer(entry, "cell", 0, 0xffffffffU));
   const double launched = number(entry, "launchedS", 0);
   if (launched > 0) s.startedAt = Instant(Duration(launched));
@@ -283,8 +81,8 @@
     r.tenant = position(names.tenants, tenant->get<std::string>());
   r.isRetry = flag(fields, "isRetry");
   r.timeLeft = Duration(asNumber(need(fields, "timeBudgetS"), "timeBudgetS"));
-  r.session = key(fields, "session");
-  r.prefix = key(fields, "prefix");
+  r.session = instance::key(fields, "session");
+  r.prefix = instance::key(fields, "prefix");
   r.prefixTokens = number(fields, "sharedLen", 0);
   r.promptTokens = number(fields, "promptLen", 0);
   r.maxOutputTokens = number(fields, "nMax", 0);
@@ -297,17 +95,11 @@
   const Json* metrics = find(fields, "metrics");
   if (metrics == nullptr) return std::nullopt;
   if (!metrics->is_object()) wrongType("metrics", "an object");
-  const auto value = [&](const char* name) -> std::optional<double> {
-    const Json* found = find(*metrics, name);
-    return found == nullptr ? std::nullopt : std::optional<double>(asNumber(*found, name));
-  };
   LoadReport load;
-  load.inHand = value("concurrent");
-  load.queued = value("depth");
-  load.busyShare = value("load_share");
-  load.memoryShare = value("x0");
-  load.waitingTokens = value("x1");
-  if (load.waitingTokens) *load.waitingTokens *= 1000;
+  for (const auto& [name, value] : metrics->items()) {
+    if (instance::isIndicator(name) && !value.is_null())
+      instance::take(load, name, asNumber(value, name.c_str()));
+  }
   return load;
 }
 
@@ -443,7 +235,10 @@
     const std::string who = text(fields, "who");
     if (name == "attach") {
       Names names;
-      Policy policy(readSettings(fields, names));
+      const Json& options = need(fields, "options");
+      if (!options.is_object()) wrongType("options", "an object");
+      Policy policy(
+          instance::readSettings(options, asUnsigned(need(fields, "prng"), "prng", UINT64_MAX), names));
       instances_.insert_or_assign(who, Instance{std::move(names), std::move(policy)});
       return;
     }
