Connections to writers are used again: bytes count as behind an answer only once it is whole

Seen: 537 requests opened 559 connections to engines. Checked: heads of engines' answers (keep-alive, chunked), the pool; a probe of the parser fed byte by byte showed the cause: ResponseParser::take counted bytes of an answer that was not whole yet as bytes behind it, so no stream's connection was re-usable.

--- a/src/http1/parser.cpp
+++ b/src/http1/parser.cpp
@@ -196,7 +196,7 @@
       if (state_ == State::kWhole && parser_->status / 100 == 1) skip();
     } while (again_);
     if (state_ == State::kMore && kept_.size() > limits_.head) state_ = State::kBad;
-    behind_ = behind_ || !kept_.empty();
+    if (state_ == State::kWhole) behind_ = !kept_.empty();
     return state_;
   }
 
