An answer that cannot be read is an error of its engine, not lost contact

Ruled out: the queue at readers, the time at writers. At fault: outcomeOf(http1::End) in src/platform/engines.cpp. Change: spoilt answers end as errors that may have run; a read given up so is let go by name.

--- a/src/platform/engines.cpp
+++ b/src/platform/engines.cpp
@@ -37,8 +37,10 @@
       return Outcome::kNotSent;
     case http1::End::kNotConnected:
       return Outcome::kConnectFailed;
+    case http1::End::kSpoilt:  // it may have run; who sends noise is there, so contact is not lost
+      return Outcome::kError;
     default:
-      return Outcome::kReset;  // broken or spoilt: it may have run
+      return Outcome::kReset;
   }
 }
 
@@ -69,7 +71,7 @@
     const bool good = events_.take(bytes, [this](std::string event) {
       if (!over) owner_.sink_.token(key_, next_++, std::move(event));
     });
-    if (!good && !over) spoilt("its events cannot be read");
+    if (!good && !over) giveUp(Outcome::kError, "its events cannot be read");
   }
 
   void end(http1::End how, const std::string& why) override {
@@ -77,19 +79,20 @@
     if (over) return;
     if (how != http1::End::kWhole && status_ != 0 && !streams_ && !(reads_ && status_ == 202))
       return finish(outcomeOf(status_, notRun_, reads_), statusText());  // its head has said it
+    if (how == http1::End::kSpoilt) return finish(outcomeOf(how), why, recovery::Ending::kCalledOff);
     if (how != http1::End::kWhole) return finish(outcomeOf(how), why);
     if (streams_) {
       const bool whole = events_.finish();
-      return finish(whole ? Outcome::kOk : Outcome::kReset,
+      return finish(whole ? Outcome::kOk : Outcome::kError,
                     whole ? "" : "its stream ended before its last event");
     }
     finish(outcomeOf(status_, notRun_, reads_), statusText());
   }
 
-  // It cannot be read and has no further use.
-  void spoilt(const char* why) {
+  // Gives it up: its connection has no further use.
+  void giveUp(Outcome outcome, const char* why) {
     owner_.client_.cancel(call);
-    finish(Outcome::kReset, why);
+    finish(outcome, why, recovery::Ending::kCalledOff);
   }
 
   void abandon() {
@@ -110,7 +113,7 @@
 
   std::string statusText() const { return "status " + std::to_string(status_); }
 
-  void finish(Outcome outcome, const std::string& why) {
+  void finish(Outcome outcome, const std::string& why, recovery::Ending ending = recovery::Ending::kTold) {
     over = true;
     const std::optional<LoadReport> load = events_.load() ? events_.load() : load_;
     owner_.ended(key_);
@@ -120,7 +123,7 @@
           reply.is_object() && reply.contains("cached_tokens") && reply["cached_tokens"].is_number();
       return owner_.sink_.readEnded(key_, "", told ? reply["cached_tokens"].get<double>() : 0, load);
     }
-    owner_.sink_.callEnded(key_, outcome, events_.keptTokens(), load, why, recovery::Ending::kTold);
+    owner_.sink_.callEnded(key_, outcome, events_.keptTokens(), load, why, ending);
   }
 
   Engines& owner_;
@@ -305,7 +308,7 @@
       broken.push_back(attempt);
   }
   for (const auto& attempt : broken) {
-    if (!attempt->over) attempt->spoilt("silent");
+    if (!attempt->over) attempt->giveUp(attempt->midEvent() ? Outcome::kError : Outcome::kReset, "silent");
   }
   std::erase_if(engines_, [&](const auto& e) {
     const bool old = e.second.gone && now - e.second.goneAt > kForgetGone &&
--- a/src/router/core.cpp
+++ b/src/router/core.cpp
@@ -172,7 +172,8 @@
     Request& r = *call.owner;
     if (outcome == Outcome::kStateLost) r.stateAt.reset();
     // The read may have ended well just as it was lost: what it has left is let go by name.
-    if (call.reads && outcome == Outcome::kReset) out_.emplace_back(LetGo{r.id, call.attempt, call.engine});
+    const bool lost = outcome == Outcome::kReset || ending == recovery::Ending::kCalledOff;
+    if (call.reads && lost) out_.emplace_back(LetGo{r.id, call.attempt, call.engine});
     AttemptEnded ended{RequestId{r.policyId},
                        call.attempt - r.firstNumber,
                        call.engine,
