--- a/src/http1/server.cpp
+++ b/src/http1/server.cpp
@@ -10,7 +10,7 @@
 namespace gannetcourse::http1 {
 namespace {
 
-const Duration kSweep{0.2};
+const Duration kSweep{0.1};
 
 std::span<const std::uint8_t> bytesOf(std::string_view text) {
   return {reinterpret_cast<const std::uint8_t*>(text.data()), text.size()};
--- a/src/http1/server.h
+++ b/src/http1/server.h
@@ -18,7 +18,7 @@
   Limits limits;
   std::size_t maxConnections = 512;
   std::uint64_t maxHeld = 32U << 20;  // bytes of requests that are not whole yet
-  Duration requestWithin{2.2};        // a connection's first request, and the rest of one begun
+  Duration requestWithin{2.7};        // a connection's first request, and the rest of one begun
   Duration idle{15};                  // a connection without a request is closed after it
   Duration stalled{20};               // ... and one whose client takes nothing
 };
--- /dev/null
+++ b/tests/http1_test.cpp
@@ -0,0 +1,155 @@
+// HTTP/1.1 out of bytes: whole, byte by byte, and what must not be read.
+#include <gtest/gtest.h>
+
+#include <random>
+
+#include "http1/parser.h"
+
+namespace gannetcourse::http1 {
+namespace {
+
+const std::string kGood =
+    "POST /v1/chat/completions?a=b HTTP/1.1\r\nHost: x\r\nX-Call-Id: 1\r\nContent-Length: 5\r\n\r\nhello";
+
+State parseAll(RequestParser& parser, const std::string& bytes, std::size_t step) {
+  State state = State::kMore;
+  for (std::size_t i = 0; i < bytes.size() && state == State::kMore; i += step) {
+    if (!parser.append(std::string_view(bytes).substr(i, step))) return State::kBad;
+    state = parser.parse();
+  }
+  return state;
+}
+
+TEST(RequestParser, ReadsARequestHoweverItIsCut) {
+  for (const std::size_t step : {std::size_t{1}, std::size_t{3}, kGood.size()}) {
+    RequestParser parser{Limits{}};
+    ASSERT_EQ(parseAll(parser, kGood, step), State::kWhole);
+    EXPECT_EQ(parser.request().method, "POST");
+    EXPECT_EQ(parser.request().target, "/v1/chat/completions?a=b");
+    EXPECT_EQ(*parser.request().fields.find("x-call-id"), "1");
+    EXPECT_EQ(parser.request().body, "hello");
+    EXPECT_TRUE(parser.request().keepAlive);
+  }
+}
+
+TEST(RequestParser, ReadsWhatWaitsBehindARequestAsTheNext) {
+  RequestParser parser{Limits{}};
+  ASSERT_TRUE(parser.append(kGood + "GET /-/ready HTTP/1.1\r\n\r\n"));
+  ASSERT_EQ(parser.parse(), State::kWhole);
+  EXPECT_EQ(parser.request().body, "hello");
+  parser.next();
+  EXPECT_TRUE(parser.started());
+  ASSERT_EQ(parser.parse(), State::kWhole);
+  EXPECT_EQ(parser.request().target, "/-/ready");
+  parser.next();
+  EXPECT_FALSE(parser.started());
+}
+
+TEST(RequestParser, RefusesLengthsThatMayHideARequest) {
+  const std::string start = "POST / HTTP/1.1\r\n";
+  for (const char* const fields :
+       {"Content-Length: 5\r\nTransfer-Encoding: chunked\r\n",
+        "Transfer-Encoding: chunked\r\nContent-Length: 5\r\n", "Content-Length: 5\r\nContent-Length: 6\r\n",
+        "Content-Length: 5\r\nContent-Length: 5\r\n", "Content-Length: -5\r\n", "Content-Length: 5x\r\n",
+        "Content-Length: 99999999999999999999999\r\n", "Transfer-Encoding: gzip, chunked\r\n",
+        "Transfer-Encoding: xchunked\r\n", "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n",
+        "Content-Length : 5\r\n"}) {
+    RequestParser parser{Limits{}};
+    EXPECT_EQ(parseAll(parser, start + fields + "\r\n0\r\n\r\n", 1000), State::kBad) << fields;
+  }
+}
+
+TEST(RequestParser, BoundsHeadsBodiesAndWhatWaits) {
+  Limits limits;
+  limits.head = 256;
+  limits.body = 100;
+  RequestParser head(limits);
+  EXPECT_EQ(parseAll(head, "GET / HTTP/1.1\r\nX: " + std::string(400, 'a'), 50), State::kBad);
+  EXPECT_EQ(head.status(), 431);
+  RequestParser body(limits);
+  EXPECT_EQ(parseAll(body, "POST / HTTP/1.1\r\nContent-Length: 62914560\r\n\r\n", 10), State::kBad);
+  EXPECT_EQ(body.status(), 413);
+  RequestParser chunks(limits);
+  EXPECT_EQ(parseAll(chunks, "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nFFFFFFFF\r\n", 10),
+            State::kBad);
+  RequestParser ahead(limits);
+  EXPECT_FALSE(ahead.append(std::string(limits.head + limits.body + limits.ahead + 1, 'x')));
+}
+
+struct Answer {
+  int status = 0;
+  std::string body;
+  State state = State::kMore;
+};
+
+Answer answerOf(const std::string& bytes, std::size_t step, bool* reusable = nullptr) {
+  Answer answer;
+  ResponseParser parser(Limits{}, {[&](const ResponseHead& head) { answer.status = head.status; },
+                                   [&](std::string_view body) { answer.body += body; }});
+  for (std::size_t i = 0; i < bytes.size() && answer.state == State::kMore; i += step)
+    answer.state = parser.take(std::string_view(bytes).substr(i, step));
+  if (reusable != nullptr) *reusable = parser.reusable();
+  return answer;
+}
+
+const std::string kStream = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n";
+
+TEST(ResponseParser, AChunkedAnswerIsReusableHoweverItIsCut) {
+  for (const std::size_t step : {std::size_t{1}, std::size_t{7}, kStream.size()}) {
+    bool reusable = false;
+    const Answer answer = answerOf(kStream, step, &reusable);
+    EXPECT_EQ(answer.state, State::kWhole);
+    EXPECT_EQ(answer.body, "hello");
+    EXPECT_TRUE(reusable) << step;
+  }
+}
+
+TEST(ResponseParser, PassesOverInformationalAnswersAndDistrustsWhatComesBehind) {
+  bool reusable = true;
+  const std::string ahead = "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n";
+  const Answer answer = answerOf(ahead + kStream + "HTTP/1.1 200 OK\r\n\r\n", 10000, &reusable);
+  EXPECT_EQ(answer.state, State::kWhole);
+  EXPECT_EQ(answer.status, 200);
+  EXPECT_EQ(answer.body, "hello");
+  EXPECT_FALSE(reusable);
+}
+
+TEST(ResponseParser, KnowsAnAnswerThatCannotBeRead) {
+  const std::string head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+  for (const std::string& bytes :
+       {std::string("\x01\x02noise\r\n\r\n"), "HTTP/1.1 200 OK\r\nX: " + std::string(40000, 'y'),
+        head + "zz\r\nhello\r\n", head + "3\r\nhello\r\n0\r\n\r\n", head + "BB8F1C80\r\nhello"}) {
+    EXPECT_EQ(answerOf(bytes, 100).state, State::kBad) << bytes.substr(0, 80);
+  }
+}
+
+TEST(ResponseParser, IsMidwayInsideAHeadOrAChunkOnly) {
+  ResponseParser parser(Limits{}, {[](const ResponseHead&) {}, [](std::string_view) {}});
+  EXPECT_FALSE(parser.midway());
+  parser.take("HTTP/1.1 200 OK\r\nTransfer-Enc");
+  EXPECT_TRUE(parser.midway());
+  parser.take("oding: chunked\r\n\r\n");
+  EXPECT_FALSE(parser.midway());
+  parser.take("a\r\nhello");
+  EXPECT_TRUE(parser.midway());
+  parser.take("12345\r\n");
+  EXPECT_TRUE(parser.headSeen());
+}
+
+// Nothing but the sanitizers and the bounds is asserted: bytes of all kinds end in one of the three states.
+TEST(Parsers, SurviveRandomBytes) {
+  std::mt19937 random(17);
+  int bad = 0;
+  for (int round = 0; round < 3000; ++round) {
+    std::string bytes = round % 2 == 0 ? kGood : kStream;
+    for (int i = 0; i < 1 + round % 4; ++i) bytes[random() % bytes.size()] = static_cast<char>(random());
+    const std::size_t step = 1 + random() % 20;
+    RequestParser request{Limits{}};
+    bad += parseAll(request, bytes, step) == State::kBad;
+    bad += answerOf(bytes, step).state == State::kBad;
+  }
+  EXPECT_GT(bad, 3000);  // each text is at least no message of the other kind
+}
+
+}  // namespace
+}  // namespace gannetcourse::http1
--- /dev/null
+++ b/tests/platform_peers.h
@@ -0,0 +1,92 @@
+// Scripted clients, engines and a discovery on loopback for a platform node; ports come from the kernel.
+#pragma once
+
+#include <functional>
+#include <list>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "http1/parser.h"
+#include "net/connection.h"
+#include "net/loop.h"
+
+namespace gannetcourse::test {
+
+inline std::string chunkOf(const std::string& bytes) {
+  char size[16];
+  std::snprintf(size, sizeof size, "%zx\r\n", bytes.size());
+  return size + bytes + "\r\n";
+}
+inline const std::string kStreamHead =
+    "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
+inline std::string eventOf(const std::string& text) { return "data: {\"content\":\"" + text + "\"}\n\n"; }
+inline const std::string kDone = "data: [DONE]\n\n";
+
+// One end of a connection: keeps what comes, sends what it is told.
+class Peer final : public net::ConnectionOwner {
+ public:
+  explicit Peer(net::Loop& loop) : connection(loop, *this) {}
+  void onBytes(std::span<const std::uint8_t> bytes) override {
+    got.append(reinterpret_cast<const char*>(bytes.data()), bytes.size());
+    if (onGot) onGot();
+  }
+  void onConnected() override { connection.flush(); }
+  void onWritable() override {}
+  void onClosed(const std::string&) override { closed = true; }
+  void send(const std::string& text) {
+    connection.append({reinterpret_cast<const std::uint8_t*>(text.data()), text.size()});
+    connection.flush();
+  }
+  bool has(const std::string& text) const { return got.find(text) != std::string::npos; }
+
+  net::Connection connection;
+  std::string got;
+  bool closed = false;
+  std::function<void()> onGot;
+};
+
+// A server whose requests are answered by a script, one at a time on each connection.
+class Scripted {
+ public:
+  using Script = std::function<void(Peer&, const http1::Request&)>;
+  Scripted(net::Loop& loop, Script script)
+      : loop_(loop),
+        script(std::move(script)),
+        listener(loop, net::Endpoint{}, [this](int fd) { accept(fd); }) {}
+
+  std::string address() const { return "127.0.0.1:" + std::to_string(listener.port()); }
+  std::size_t count(const std::string& method, const std::string& target) const {
+    std::size_t n = 0;
+    for (const auto& r : seen) n += r.method == method && r.target == target;
+    return n;
+  }
+
+ private:
+  void accept(int fd) {
+    peers.push_back(std::make_shared<Peer>(loop_));
+    const auto peer = peers.back().get();
+    const auto parser = std::make_shared<http1::RequestParser>(http1::Limits{});
+    peer->onGot = [this, peer, parser] {
+      parser->append(std::exchange(peer->got, {}));
+      while (parser->parse() == http1::State::kWhole) {
+        seen.push_back(parser->request());
+        const http1::Request request = std::move(parser->request());
+        parser->next();
+        script(*peer, request);
+        if (!parser->started()) break;
+      }
+    };
+    peer->connection.adopt(fd);
+  }
+
+  net::Loop& loop_;
+
+ public:
+  Script script;
+  std::vector<http1::Request> seen;
+  std::list<std::shared_ptr<Peer>> peers;
+  net::Listener listener;
+};
+
+}  // namespace gannetcourse::test
--- /dev/null
+++ b/tests/platform_test.cpp
@@ -0,0 +1,527 @@
+// A whole node on the platform's protocol, with scripted clients, engines and a discovery on loopback.
+#include <gtest/gtest.h>
+#include <unistd.h>
+
+#include <filesystem>
+#include <fstream>
+#include <random>
+
+#include "platform/node.h"
+#include "platform_peers.h"
+
+namespace gannetcourse::platform {
+namespace {
+
+using instance::Json;
+using test::chunkOf;
+using test::eventOf;
+using test::kDone;
+using test::kStreamHead;
+using test::Peer;
+using test::Scripted;
+
+constexpr double kBound = 20;  // seconds; only a broken program needs them
+
+const char* const kSettings = R"({"balancers":1,
+  "classes":[{"aimS":1.5,"deadlineS":6.0,"idempotency":"idempotent","name":"chat","worth":3.0,"lateWorth":0.1},
+             {"aimS":3.0,"deadlineS":12.0,"idempotency":"at_most_once","name":"pay","worth":1.0}],
+  "familyInfo":{"aimUsPer1000PromptTokens":[40000.0,50000.0],"kindMemoryTokens":[165671,190862],
+                "kindRole":["read","write"],"mayReserve":true,"pinLimitS":1.0,"selfPrefill":false,"tokenAimS":[0.06,0.08]},
+  "kinds":["prefill","decode"],
+  "limits":{"connIdleS":15.0,"connectTimeoutS":0.25,"maxAttempts":6,"maxRetryAfterS":1.0,"mayCancel":true,
+            "probes":false,"retryAfter":true},
+  "reporting":{"fields":["mean_ms","x0","x1"],"via":"piggyback"},
+  "rules":{"answerSlackS":0.016,"fallS":3.0,"overloadFactor":2.5,"startCapacity":0.29,"warmAfterS":13.0},
+  "tenants":[],"tickS":0.004,"worthBy":"work","zone":"north","zones":["north","south"]})";
+
+Json target(const std::string& name, const std::string& type, const std::string& address,
+            const std::string& status = "up") {
+  return {{"name", name},     {"address", address}, {"zone", "north"}, {"type", type}, {"group", 0},
+          {"status", status}, {"weight", 1.0},      {"since_ms", 0},   {"unknown", 1}};
+}
+
+Json listOf(std::uint64_t index, bool full, std::vector<Json> entries) {
+  return {{"index", index}, {"snapshot", full}, {"endpoints", std::move(entries)}};
+}
+
+class PlatformTest : public ::testing::Test {
+ protected:
+  PlatformTest()
+      : reader(loop, [](Peer& p, const http1::Request& r) { answerRead(p, r); }),
+        writer(loop, [](Peer& p, const http1::Request& r) { answerWrite(p, r); }),
+        discovery(loop, [](Peer& p, const http1::Request&) { p.send(kStreamHead); }) {}
+  ~PlatformTest() override {
+    node.reset();
+    loop.step(Duration(0));
+  }
+
+  static bool released(Peer& peer, const http1::Request& request) {
+    if (request.method != "DELETE") return false;
+    peer.send("HTTP/1.1 204 No Content\r\n\r\n");
+    return true;
+  }
+  static void answerRead(Peer& peer, const http1::Request& request) {
+    if (!released(peer, request))
+      peer.send(
+          "HTTP/1.1 202 Accepted\r\nX-Load-Report: TEXT mean_ms=3, x0=0.25, x1=2\r\nContent-Length: "
+          "20\r\n\r\n"
+          "{\"cached_tokens\":40}");
+  }
+  static std::string wholeStream() {
+    return kStreamHead + chunkOf(eventOf("a")) + chunkOf(eventOf("b") + kDone) +
+           chunkOf(": X-Load-Report: TEXT mean_ms=1, x0=0.5, x1=0\n") + "0\r\n\r\n";
+  }
+  static void answerWrite(Peer& peer, const http1::Request& request) {
+    if (!released(peer, request)) peer.send(wholeStream());
+  }
+
+  Json file() const {
+    return {{"name", "n0"},
+            {"listen", "127.0.0.1:0"},
+            {"discovery", discovery.address()},
+            {"seed", "92094eb940cf389a"},
+            {"limits", {{"cores", 1.0}, {"memory_mb", 64}, {"sockets", sockets}}},
+            {"known",
+             listOf(7, true,
+                    {target("r1", "prefill", reader.address()), target("w1", "decode", writer.address())})},
+            {"settings", Json::parse(kSettings)}};
+  }
+  static Configuration configurationOf(const Json& json) {
+    const auto path = std::filesystem::temp_directory_path() /
+                      ("gannetcourse-platform-" + std::to_string(getpid()) + ".json");
+    std::ofstream(path) << json.dump();
+    Configuration c;
+    try {
+      c = loadConfiguration(path);
+    } catch (...) {
+      std::filesystem::remove(path);
+      throw;
+    }
+    std::filesystem::remove(path);
+    return c;
+  }
+  void start() {
+    node =
+        std::make_unique<Node>(loop, configurationOf(file()),
+                               [this](const std::string&, const std::string& level, const std::string& text) {
+                                 if (level != "info") log.push_back(text);
+                               });
+  }
+  bool until(const std::function<bool()>& done) {
+    const Instant end = net::monotonicNow() + Duration(kBound);
+    while (!done()) {
+      if (net::monotonicNow() > end) return false;
+      loop.step(Duration(0.01));
+    }
+    return true;
+  }
+  void settle(double seconds) {
+    const Instant end = net::monotonicNow() + Duration(seconds);
+    while (net::monotonicNow() < end) loop.step(Duration(0.01));
+  }
+  std::shared_ptr<Peer> client() {
+    auto peer = std::make_shared<Peer>(loop);
+    peer->connection.connect({"127.0.0.1", node->port()}, Duration(kBound));
+    return peer;
+  }
+  static std::string ask(const std::string& id, const std::string& more = "",
+                         const std::string& className = "chat", const std::string& budget = "4800",
+                         const std::string& body = "{\"messages\":[]}") {
+    return "POST /v1/chat/completions?x=1 HTTP/1.1\r\nHost: b\r\nX-Call-Id: " + id +
+           "\r\nX-Call-Class: " + className + "\r\nX-Route-Hash: 7f3a9c21e0b4d655\r\nX-Budget-Ms: " + budget +
+           "\r\nX-Call-Info: prefix=5c0f6e1a2b3d4c59,prompt_len=512,prefix_len=48,max_out=80\r\n" + more +
+           "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+  }
+  std::shared_ptr<Peer> asks(const std::string& request) {
+    auto peer = client();
+    peer->send(request);
+    return peer;
+  }
+  // The status of the one answer.
+  int statusOf(const std::shared_ptr<Peer>& peer) {
+    if (!until([&] { return peer->has("\r\n\r\n") || peer->closed; }) || !peer->has("HTTP/1.1 ")) return 0;
+    return std::stoi(peer->got.substr(9, 3));
+  }
+
+  std::size_t sockets = 256;
+  net::Loop loop;
+  Scripted reader, writer, discovery;
+  std::unique_ptr<Node> node;
+  std::vector<std::string> log;
+};
+
+TEST_F(PlatformTest, PassesAStreamOnUnchangedAndKeepsItsConnections) {
+  start();
+  const auto peer = client();
+  for (const char* const id : {"one", "two"}) {
+    peer->got.clear();
+    peer->send(ask(id));
+    ASSERT_TRUE(until([&] { return peer->has("0\r\n\r\n"); }));
+    std::string body;
+    http1::ResponseParser parser(
+        http1::Limits{}, {[](const http1::ResponseHead&) {}, [&](std::string_view bytes) { body += bytes; }});
+    EXPECT_EQ(parser.take(peer->got), http1::State::kWhole);
+    EXPECT_EQ(body, eventOf("a") + eventOf("b") + kDone);
+  }
+  EXPECT_EQ(reader.peers.size(), 1U);
+  EXPECT_EQ(writer.peers.size(), 1U);
+  ASSERT_EQ(reader.seen.size(), 2U);
+  for (const Scripted* const engine : {&reader, &writer}) {
+    EXPECT_EQ(engine->seen[0].target, "/v1/chat/completions?x=1");
+    EXPECT_EQ(engine->seen[0].body, "{\"messages\":[]}");
+    EXPECT_EQ(*engine->seen[0].fields.find("X-Call-Id"), "one");
+    EXPECT_GT(std::stoi(*engine->seen[0].fields.find("X-Budget-Ms")), 0);
+  }
+  EXPECT_EQ(node->core().counts().served, 2U);
+}
+
+TEST_F(PlatformTest, EachKindOfBadClientGetsAnErrorAndEnginesHearNothing) {
+  start();
+  const std::string path = "POST /v1/chat/completions HTTP/1.1\r\n";
+  const std::vector<std::pair<std::string, int>> kinds = {
+      {"\x01\x02nonsense\r\n\r\n", 400},
+      {path + "X: " + std::string(20000, 'y') + "\r\n", 431},
+      {path + "Content-Length: -3\r\n\r\n", 400},
+      {path + "Content-Length: 62914560\r\n\r\nxxxx", 413},
+      {path + "Content-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", 400},
+      {path + "Content-Length: 5\r\nContent-Length: 6\r\n\r\nhello", 400},
+      {ask("a", "", "no-such-class"), 400},
+      {ask("a", "", "chat", "soon"), 400},
+      {ask("a", "", "chat", "-5"), 400},
+      {ask(""), 400},
+      {ask("a", "X-Call-Id: b\r\n"), 400},
+      {ask("a", "", "chat", "4800", "{\"messages\":"), 400},
+      {"GET /v1/chat/completions HTTP/1.1\r\n\r\n", 405},
+      {"POST /elsewhere HTTP/1.1\r\nContent-Length: 0\r\n\r\n", 404}};
+  for (const auto& [bytes, status] : kinds) {
+    const auto peer = asks(bytes);
+    EXPECT_EQ(statusOf(peer), status) << bytes.substr(0, 120);
+    EXPECT_TRUE(until([&] { return peer->closed; }));
+  }
+  EXPECT_TRUE(reader.seen.empty());
+  EXPECT_EQ(node->core().counts().taken, 0U);
+  const auto good = asks(ask("good"));
+  EXPECT_EQ(statusOf(good), 200);
+}
+
+TEST_F(PlatformTest, TheIdOfAnOpenRequestIsRefusedAndLeavesThatRequestAlone) {
+  writer.script = [](Peer& peer, const http1::Request& request) {
+    if (!released(peer, request)) peer.send(kStreamHead + chunkOf(eventOf("a")));
+  };
+  start();
+  const auto first = asks(ask("same"));
+  ASSERT_TRUE(until([&] { return first->has("\"a\""); }));
+  EXPECT_EQ(statusOf(asks(ask("same"))), 409);
+  writer.peers.front()->send(chunkOf(kDone) + "0\r\n\r\n");
+  EXPECT_TRUE(until([&] { return first->has("0\r\n\r\n"); }));
+  EXPECT_EQ(reader.seen.size(), 1U);
+}
+
+TEST_F(PlatformTest, SilentConnectionsAndHalfRequestsAreClosed) {
+  start();
+  const auto silent = client(), half = asks(ask("half").substr(0, 150));
+  EXPECT_TRUE(until([&] { return silent->closed && half->closed; }));
+  EXPECT_TRUE(half->has("HTTP/1.1 408"));
+}
+
+TEST_F(PlatformTest, ACrowdOfSilentConnectionsLeavesRoomForOthers) {
+  sockets = 64;
+  start();
+  std::vector<std::shared_ptr<Peer>> crowd;
+  for (int i = 0; i < 200; ++i) crowd.push_back(client());
+  settle(0.05);
+  EXPECT_EQ(statusOf(asks(ask("good"))), 200);
+  EXPECT_LE(node->front().server().connections(), boundsOf(configurationOf(file())).clientConnections);
+}
+
+TEST_F(PlatformTest, PastItsBoundOfOpenRequestsTheNodeRefusesWithAdvice) {
+  sockets = 64;
+  reader.script = [](Peer&, const http1::Request&) {};  // answers nothing
+  start();
+  const Bounds bounds = boundsOf(configurationOf(file()));
+  std::vector<std::shared_ptr<Peer>> crowd;
+  int refused = 0;
+  for (std::size_t i = 0; i <= bounds.openRequests; ++i) crowd.push_back(asks(ask("r" + std::to_string(i))));
+  ASSERT_TRUE(until([&] {
+    refused = 0;
+    for (const auto& peer : crowd) refused += peer->has("HTTP/1.1 503") && peer->has("Retry-After: 1.000");
+    return refused > 0;
+  }));
+  EXPECT_LE(node->engines().connections(), bounds.engineConnections);
+}
+
+// Every row of the outcome table at a writer, and what the client and the module get of it.
+TEST_F(PlatformTest, EachWayAnAttemptEndsIsOneOutcome) {
+  EXPECT_EQ(outcomeOf(202, false, true), Outcome::kPrefilled);
+  EXPECT_EQ(outcomeOf(500, false, false), Outcome::kError);
+  EXPECT_EQ(outcomeOf(503, true, false), Outcome::kRejected);
+  EXPECT_EQ(outcomeOf(504, true, true), Outcome::kRejected);
+  EXPECT_EQ(outcomeOf(503, false, false), Outcome::kError);  // it may have run
+  EXPECT_EQ(outcomeOf(410, true, false), Outcome::kStateLost);
+  EXPECT_EQ(outcomeOf(http1::End::kNotConnected), Outcome::kConnectFailed);
+  EXPECT_EQ(outcomeOf(http1::End::kBroken), Outcome::kReset);
+  EXPECT_EQ(outcomeOf(http1::End::kSpoilt), Outcome::kError);
+  EXPECT_EQ(outcomeOf(http1::End::kNoRoom), Outcome::kNotSent);
+}
+
+TEST_F(PlatformTest, AnAttemptThatFailsBeforeItsFirstEventIsFollowedByAnother) {
+  const std::vector<std::string> bad = {"HTTP/1.1 500 Internal\r\nContent-Length: 0\r\n\r\n",
+                                        "HTTP/1.1 503 Busy\r\nX-Rejected: 1\r\nContent-Length: 0\r\n\r\n",
+                                        "HTTP/1.1 410 Gone\r\nX-Rejected: 1\r\nContent-Length: 0\r\n\r\n",
+                                        "noise\r\n\r\n",
+                                        kStreamHead + "zz\r\n",
+                                        kStreamHead + chunkOf("no event\n\n"),
+                                        kStreamHead + "BB8F1C80\r\ndata: x"};
+  for (const std::string& answer : bad) {
+    bool failed = false;
+    writer.script = [&](Peer& peer, const http1::Request& request) {
+      if (released(peer, request)) return;
+      peer.send(std::exchange(failed, true) ? wholeStream() : answer);
+    };
+    start();
+    const auto peer = asks(ask("again"));
+    EXPECT_TRUE(until([&] { return peer->has("0\r\n\r\n"); })) << answer;
+    EXPECT_EQ(statusOf(peer), 200);
+    EXPECT_GE(node->core().counts().attempts, 3U);
+    node.reset();
+  }
+}
+
+TEST_F(PlatformTest, AnUnsafeRequestWhoseAnswerIsNoiseIsNotSentAgain) {
+  writer.script = [](Peer& peer, const http1::Request& request) {
+    if (!released(peer, request)) peer.send("noise\r\n\r\n");
+  };
+  start();
+  EXPECT_EQ(statusOf(asks(ask("once", "", "pay"))), 502);
+  EXPECT_EQ(writer.count("POST", "/v1/chat/completions?x=1"), 1U);
+}
+
+TEST_F(PlatformTest, AStreamSpoiltLaterEndsTheClientsConnectionWithoutTheLastChunk) {
+  const std::vector<std::string> spoilt = {
+      "zz\r\n",    "2\r\ndata: b\n\n\r\n",   "BB8F1C80\r\ndata: x", chunkOf("noise\n\n"),
+      "0\r\n\r\n", "ff\r\ndata: never whole"};
+  for (const std::string& rest : spoilt) {
+    writer.script = [&](Peer& peer, const http1::Request& request) {
+      if (!released(peer, request)) peer.send(kStreamHead + chunkOf(eventOf("a")) + rest);
+    };
+    start();
+    const auto peer = asks(ask("spoilt"));
+    EXPECT_TRUE(until([&] { return peer->closed; })) << rest;
+    EXPECT_TRUE(peer->has("\"a\""));
+    EXPECT_FALSE(peer->has("\r\n0\r\n\r\n")) << rest;
+    EXPECT_TRUE(until([&] { return writer.peers.back()->closed; }));
+    node.reset();
+  }
+}
+
+TEST_F(PlatformTest, WhatComesBesideAGoodStreamDoesNoHarm) {
+  writer.script = [](Peer& peer, const http1::Request& request) {
+    if (released(peer, request)) return;
+    peer.send("HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n" + kStreamHead + chunkOf(eventOf("a") + kDone) +
+              chunkOf(": X-Load-Report: TEXT x0=?, =\n") + "0\r\n\r\n" + "HTTP/1.1 200 OK\r\n\r\n");
+  };
+  start();
+  for (const char* const id : {"one", "two"}) {
+    const auto peer = asks(ask(id));
+    ASSERT_TRUE(until([&] { return peer->has("0\r\n\r\n"); }));
+    EXPECT_FALSE(peer->has("X-Load-Report"));
+  }
+  EXPECT_EQ(writer.peers.size(), 2U);  // the first connection is not used again
+}
+
+TEST_F(PlatformTest, AClientThatLeavesEndsItsAttemptAndWhatIsHeldIsLetGo) {
+  writer.script = [](Peer& peer, const http1::Request& request) {
+    released(peer, request);
+  };  // never answers
+  start();
+  const auto peer = asks(ask("left"));
+  ASSERT_TRUE(until([&] { return writer.seen.size() == 1; }));
+  peer->connection.close();
+  EXPECT_TRUE(until([&] {
+    return reader.count("DELETE", "/kv/leases/left") + writer.count("DELETE", "/kv/leases/left") == 1;
+  }));
+  EXPECT_TRUE(until([&] { return writer.peers.front()->closed && node->engines().open() == 0; }));
+  EXPECT_TRUE(until([&] { return node->core().owed() == 0 && node->engines().smallCalls() == 0; }));
+}
+
+TEST_F(PlatformTest, AReadWhoseConnectionBreaksIsLetGo) {
+  int reads = 0;
+  reader.script = [&](Peer& peer, const http1::Request& request) {
+    if (released(peer, request)) return;
+    if (++reads > 1) return answerRead(peer, request);
+    peer.connection.close();
+  };
+  start();
+  const auto peer = asks(ask("broken"));
+  EXPECT_TRUE(until([&] { return peer->has("0\r\n\r\n"); }));
+  EXPECT_TRUE(until([&] {
+    return reader.count("DELETE", "/kv/leases/broken") + writer.count("DELETE", "/kv/leases/broken") == 1;
+  }));
+}
+
+TEST_F(PlatformTest, TheDeadlineStopsWithTheFirstEvent) {
+  writer.script = [](Peer& peer, const http1::Request& request) {
+    if (!released(peer, request)) peer.send(kStreamHead + chunkOf(eventOf("a")));
+  };
+  start();
+  const auto peer = asks(ask("long", "", "chat", "300"));
+  ASSERT_TRUE(until([&] { return peer->has("\"a\""); }));
+  settle(0.6);
+  EXPECT_FALSE(peer->closed);
+  writer.peers.front()->send(chunkOf(kDone) + "0\r\n\r\n");
+  EXPECT_TRUE(until([&] { return peer->has("0\r\n\r\n"); }));
+}
+
+TEST_F(PlatformTest, NothingInTimeIsOneFinalAnswerBeforeItsDeadline) {
+  writer.script = [](Peer& peer, const http1::Request& request) { released(peer, request); };
+  start();
+  const Instant from = net::monotonicNow();
+  const auto peer = asks(ask("late", "", "chat", "900"));
+  const int status = statusOf(peer);
+  EXPECT_TRUE(status == 502 || status == 503 || status == 504) << status;
+  EXPECT_LT(net::monotonicNow() - from, Duration(kBound));
+  EXPECT_TRUE(until([&] { return node->engines().open() == 0; }));
+}
+
+TEST_F(PlatformTest, TheWatchChangesTheListAndIsOpenedAgainWhereItEnded) {
+  discovery.script = [&](Peer& peer, const http1::Request& request) {
+    peer.send(kStreamHead);
+    if (request.target == "/api/targets?watch=1&from=7")
+      peer.send(chunkOf(listOf(9, false,
+                               {target("w1", "decode", writer.address(), "removed"),
+                                target("w2", "decode", reader.address(), "up"), Json{{"odd", 1}}})
+                            .dump() +
+                        "\n\n") +
+                "0\r\n\r\n");
+  };
+  start();
+  EXPECT_TRUE(until([&] { return discovery.count("GET", "/api/targets?watch=1&from=9") > 0; }));
+  reader.script = [](Peer& peer, const http1::Request& request) {  // plays both roles now
+    if (request.fields.find("X-Call-Id") != nullptr && *request.fields.find("X-Call-Id") == "seen")
+      return answerRead(peer, request);
+    answerWrite(peer, request);
+  };
+  const auto peer = asks(ask("seen"));
+  ASSERT_TRUE(until([&] { return reader.seen.size() >= 2; }));  // the read, then the write at its new place
+  EXPECT_TRUE(writer.seen.empty());
+}
+
+TEST_F(PlatformTest, ANewConfigurationMovesTheWatchAndLosesNothing) {
+  Scripted other(loop, [](Peer& peer, const http1::Request&) { peer.send(kStreamHead); });
+  writer.script = [](Peer& peer, const http1::Request& request) {
+    if (!released(peer, request)) peer.send(kStreamHead + chunkOf(eventOf("a")));
+  };
+  start();
+  const auto peer = asks(ask("open"));
+  ASSERT_TRUE(until([&] { return peer->has("\"a\""); }));
+  Json fresh = file();
+  fresh["discovery"] = other.address();
+  fresh["settings"]["classes"].push_back({{"aimS", 2.0}, {"idempotency", "idempotent"}, {"name", "new"}});
+  node->reload(configurationOf(fresh));
+  EXPECT_TRUE(until([&] { return other.count("GET", "/api/targets?watch=1&from=7") == 1; }));
+  EXPECT_TRUE(until([&] { return discovery.peers.front()->closed; }));
+  writer.peers.front()->send(chunkOf(kDone) + "0\r\n\r\n");
+  EXPECT_TRUE(until([&] { return peer->has("0\r\n\r\n"); }));
+  writer.script = [](Peer& p, const http1::Request& r) { answerWrite(p, r); };
+  EXPECT_EQ(statusOf(asks(ask("later", "", "new"))), 200);
+  fresh["settings"]["classes"][1]["idempotency"] = "idempotent";
+  EXPECT_THROW(node->reload(configurationOf(fresh)), std::invalid_argument);
+}
+
+TEST_F(PlatformTest, ADrainFinishesStreamsAnswersTheRestAndEnds) {
+  writer.script = [](Peer& peer, const http1::Request& request) {
+    if (!released(peer, request)) peer.send(kStreamHead + chunkOf(eventOf("a")));
+  };
+  start();
+  EXPECT_EQ(statusOf(asks("GET /-/ready HTTP/1.1\r\n\r\n")), 200);
+  const auto peer = asks(ask("open"));
+  ASSERT_TRUE(until([&] { return peer->has("\"a\""); }));
+  bool done = false;
+  node->drain([&] { done = true; });
+  EXPECT_EQ(statusOf(asks("GET /-/ready HTTP/1.1\r\n\r\n")), 503);
+  const auto refused = asks(ask("new"));
+  EXPECT_EQ(statusOf(refused), 503);
+  EXPECT_TRUE(refused->has("Connection: close"));
+  settle(1.5);
+  EXPECT_FALSE(done);  // the stream is still open
+  writer.peers.front()->send(chunkOf(kDone) + "0\r\n\r\n");
+  EXPECT_TRUE(until([&] { return peer->has("0\r\n\r\n") && peer->closed; }));
+  EXPECT_TRUE(until([&] { return done; }));
+}
+
+TEST_F(PlatformTest, WhatTheModuleBelievesIsWhatIsOpenOnTheSockets) {
+  writer.script = [](Peer& peer, const http1::Request& request) {
+    if (!released(peer, request)) peer.send(kStreamHead + chunkOf(eventOf("a")));
+  };
+  start();
+  std::vector<std::shared_ptr<Peer>> peers;
+  for (int i = 0; i < 12; ++i) peers.push_back(asks(ask("b" + std::to_string(i))));
+  ASSERT_TRUE(until([&] { return writer.seen.size() == 12; }));
+  ASSERT_TRUE(until([&] {
+    return std::all_of(peers.begin(), peers.end(), [](const auto& p) { return p->has("\"a\""); });
+  }));
+  EXPECT_EQ(node->core().open(), 12U);
+  EXPECT_EQ(node->engines().openByEngine().at(numberOf("w1")), 12U);
+  for (std::size_t i = 0; i < 6; ++i) peers[i]->connection.close();
+  EXPECT_TRUE(until([&] { return node->core().owed() == 6 && node->engines().open() == 6; }));
+  EXPECT_EQ(node->core().counts().guarded, 0U);
+}
+
+TEST_F(PlatformTest, AConfigurationIsReadOrRefusedInOneLine) {
+  const Configuration c = configurationOf(file());
+  EXPECT_EQ(c.policy.seed, 0x92094eb940cf389aU);
+  ASSERT_EQ(c.policy.classes.size(), 2U);
+  EXPECT_EQ(c.policy.classes[1].effect, Effect::kUnsafe);
+  EXPECT_DOUBLE_EQ(c.policy.classes[0].aimPerToken.count(), 40e-6);
+  EXPECT_EQ(c.policy.maxAttempts, 6);
+  EXPECT_DOUBLE_EQ(c.policy.pinLimit.count(), 1);
+  EXPECT_TRUE(c.policy.retryAfterHeeded);
+  EXPECT_EQ(c.names.zone("south"), 1U);
+  Json bad = file();
+  bad["listen"] = "nowhere";
+  EXPECT_THROW(configurationOf(bad), std::runtime_error);
+  bad = file();
+  bad["settings"]["limits"]["maxAttempts"] = "six";
+  try {
+    configurationOf(bad);
+    ADD_FAILURE();
+  } catch (const std::runtime_error& fault) {
+    EXPECT_NE(std::string(fault.what()).find("maxAttempts"), std::string::npos);
+  }
+}
+
+TEST(LoadReports, AreReadOrIgnored) {
+  const auto load = readLoadReport(" TEXT mean_ms=12.5, x0=0.5, x1=3, queue=2");
+  ASSERT_TRUE(load);
+  EXPECT_DOUBLE_EQ(*load->memoryShare, 0.5);
+  EXPECT_DOUBLE_EQ(*load->waitingTokens, 3000);
+  EXPECT_DOUBLE_EQ(*load->queued, 2);
+  EXPECT_FALSE(load->inHand);
+  for (const char* const bad : {"", "JSON {}", "TEXT x0", "TEXT x0=", "TEXT x0=a",
+                                "TEXT x0=1, =", "TEXT x0=-1", "TEXT x0=nan", "TEXT x0=1e999"})
+    EXPECT_FALSE(readLoadReport(bad)) << bad;
+}
+
+TEST(EventStreams, TellWholeEventsHoweverTheyAreCut) {
+  const std::string bytes =
+      eventOf("a") + eventOf("b") + ": X-Load-Report: TEXT x0=0.5\n\n" +
+      "data: {\"choices\":[],\"usage\":{\"prompt_tokens_details\":{\"cached_tokens\":4096}}}\n\n" + kDone;
+  for (const std::size_t step : {std::size_t{1}, std::size_t{7}, bytes.size()}) {
+    EventStream stream;
+    std::string told;
+    for (std::size_t i = 0; i < bytes.size(); i += step)
+      ASSERT_TRUE(
+          stream.take(std::string_view(bytes).substr(i, step), [&](const std::string& e) { told += e; }));
+    EXPECT_TRUE(stream.finish());
+    EXPECT_EQ(told.find(": X-Load"), std::string::npos);
+    EXPECT_EQ(told.substr(0, 10), eventOf("a").substr(0, 10));
+    EXPECT_DOUBLE_EQ(stream.keptTokens(), 4096);
+    EXPECT_DOUBLE_EQ(*stream.load()->memoryShare, 0.5);
+  }
+  EventStream unfinished;
+  EXPECT_TRUE(unfinished.take(eventOf("a"), [](const std::string&) {}));
+  EXPECT_FALSE(unfinished.finish());
+}
+
+}  // namespace
+}  // namespace gannetcourse::platform
