A request that later ones have overtaken at its server is called off alone, nobody blamed

Records: reads and writes that got no byte waited for their time-out of 0.6 of the time left. Checked on the sockets: not bound to connections that stood idle, fresh ones too; no bytes written were left, none had come. Of 26 such calls 17 had been overtaken by one of their class at the same engine, mostly within 0.4 s; watchRequests looked only at servers that were silent to all. At fault: Policy::watchRequests. Change: an attempt past its patience that its server has overtaken within the class is called off; the server is not blamed. Silence inside a chunk counts as spoilt after 3 s instead of 2 (of seven such streams three went on).

--- a/src/http1/client.h
+++ b/src/http1/client.h
@@ -23,7 +23,7 @@
   std::size_t maxConnections = 256;  // to all servers together
   Duration connectTimeout{0.25};
   Duration idle{7};    // an idle connection is closed after it, well before its server would
-  Duration midway{2};  // silence inside a head or chunk after which the answer counts as spoilt
+  Duration midway{3};  // silence inside a head or chunk after which the answer counts as spoilt
 };
 
 enum class End {
--- a/src/policy/policy.cpp
+++ b/src/policy/policy.cpp
@@ -240,7 +240,9 @@
 
   // Every request has its answer before the client's time is up. Guards against silence, be it a hang, a
   // stall or a cut link: a server whose work is out for longer than expected is avoided early, and its
-  // attempts are called off while others could follow. A burst of long prompts may trip it briefly.
+  // attempts are called off while others could follow. A burst of long prompts may trip it briefly. One that
+  // later ones of its class have overtaken there is lost on its way: it alone is called off, no server
+  // blamed.
   void watchRequests() {
     for (auto& [id, s] : servers_) s.overdue = 0;
     for (auto& [id, r] : requests_) {
@@ -250,16 +252,25 @@
         finish(r);
       } else if (r.stage == Stage::kHolding) {
         pickWriterOrHold(r);
-      } else if (r.out && servers_[r.server].answeredAt < r.sentAt) {
+      } else if (r.out) {
+        Server& s = servers_[r.server];
+        const bool silent = s.answeredAt < r.sentAt;
         const double late = now_ - r.sentAt - patience(r);
-        servers_[r.server].overdue = std::max(servers_[r.server].overdue, late + patience(r) / 2);
-        if (late <= 0 || r.calledOff || !set_.cancelAllowed || !mayTryOn(r)) continue;
+        if (silent) s.overdue = std::max(s.overdue, late + patience(r) / 2);
+        r.overtaken = !silent && overtakenAt(s, r);
+        if (late <= 0 || r.calledOff || !(silent || r.overtaken) || !set_.cancelAllowed || !mayTryOn(r))
+          continue;
         r.calledOff = true;
         act(Cancel{id, r.sends - 1});
       }
     }
   }
 
+  static bool overtakenAt(const Server& s, const Request& r) {
+    const auto it = s.answeredSent.find(r.ask.classIndex);
+    return it != s.answeredSent.end() && it->second > r.sentAt;
+  }
+
   // How long a writer's streams last, running ones too: time streamed over answers ended. Guards against
   // writers that age or share their machine: their first tokens still come in time. It counts against the
   // middle of all writers: to a node that has just started only short answers have ended, and all would look
@@ -741,7 +752,7 @@
     r.out = true;
     r.sentAt = now_;
     r.expected = expected;
-    r.calledOff = false;
+    r.calledOff = r.overtaken = false;
     ++r.sends;
     if (runsEffect(r)) {
       s.heldTokens += r.need;
@@ -844,6 +855,7 @@
     if (read || e.outcome == Outcome::kOk) return recovered(*s, r);
     const bool silent = r.calledOff || e.outcome == Outcome::kTimeout;
     if (silent && learnSlowLink(r, *s, sec(e.elapsed))) return;
+    if (r.calledOff && r.overtaken) return;
     if (r.calledOff) return blame(*s, r, Outcome::kTimeout);
     const bool ours = e.outcome == Outcome::kCancelled || e.outcome == Outcome::kNotSent;
     if (!ours && e.outcome != Outcome::kStateLost) blame(*s, r, e.outcome);
@@ -936,6 +948,8 @@
 
   void recovered(Server& s, const Request& r) {
     s.answeredAt = now_;
+    double& last = s.answeredSent[r.ask.classIndex];
+    last = std::max(last, r.sentAt);
     for (const int part : r.parts) s.illness[part].set(kHealing * level(s.illness[part]), now_);
     if (level(s.contact) > kFailureStep / 2) s.coldSince = std::max(s.coldSince, now_);  // slow start
     s.contact = s.suspect = {};
--- a/src/policy/records.h
+++ b/src/policy/records.h
@@ -24,6 +24,7 @@
   Fading contact;                 // connections that failed or broke
   Fading suspect;                 // lost with others of its cell, perhaps
   std::map<int, Fading> illness;  // by class (from 0) and tenant (below 0)
+  std::map<std::size_t, double> answeredSent;  // by class: when the last sent of those answered was sent
 };
 
 struct Server : Process {
@@ -50,6 +51,7 @@
   Stage stage = Stage::kQueued;
   int sends = 0, timeouts = 0, writerFailures = 0;
   bool out = false, whole = false, calledOff = false;  // an attempt is out, reads and writes, was cancelled
+  bool overtaken = false;                              // ... as later ones had been answered by its server
   ServerId server, reader;                             // of the last attempt; where the state waits
   double sentAt = 0, expected = 0, heldSince = 0, streamAt = 0;
   int looks = 0;                    // readers asked for their queue
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -144,6 +144,32 @@
   EXPECT_LE(homes, 9);
 }
 
+RequestArrived ofSession(const std::string& id, std::uint64_t session) {
+  RequestArrived r;
+  r.id = {id};
+  r.timeLeft = Duration(6);
+  r.session = session;
+  r.promptTokens = 1000;
+  return r;
+}
+
+// Guards against answers that are lost on their way, one at a time: the server answers others meanwhile.
+TEST(Silence, OneThatLaterOnesHaveOvertakenIsCalledOffAloneAndNoServerIsBlamed) {
+  for (const bool overtaken : {true, false}) {
+    Host host(test::twoStageSettings());
+    host.list(0, {server(1, Role::kPrefill), server(3, Role::kPrefill), server(2, Role::kDecode)});
+    const std::uint32_t home = test::sentTo(host.feed(0, ofSession("lost", 5)));
+    ASSERT_EQ(test::sentTo(host.feed(0.05, ofSession("next", 5))), home);
+    if (overtaken) host.ended(0.15, "next", home, Outcome::kPrefilled), host.streams(0.2, "next", 2);
+    EXPECT_TRUE(test::only<Cancel>(host.run(0.4)).empty());
+    std::vector<Cancel> cancels = test::only<Cancel>(host.run(0.8));
+    EXPECT_EQ(cancels.size(), overtaken ? 1U : 2U);  // a server that is silent to all has both called off
+    host.ended(0.81, "lost", home, Outcome::kCancelled);
+    EXPECT_NE(test::sentTo(host.last), home);  // tried elsewhere
+    EXPECT_EQ(test::sentTo(host.feed(0.82, ofSession("after", 5))) == home, overtaken);
+  }
+}
+
 TEST(Writer, PickedAfterTheReadInTheReadersCell) {
   Host host(twoStageSettings());
   host.list(1, {server(1, Role::kPrefill, 0), server(2, Role::kDecode, 1), server(3, Role::kDecode, 0)});
