A long prompt within its share is let in up to its own aim while hardly anything queues

At fault: dispatch(), whose room is meant for queues. Kept: under a quarter of a mean prompt queued at readers by all nodes, the reader has none of ours, within its share and no marked retry.

--- a/src/policy/policy.cpp
+++ b/src/policy/policy.cpp
@@ -42,17 +42,18 @@
 constexpr double kNearHome = 3;           // odds that a home lies in our zone, a server
 constexpr double kPopular = 60;           // how long a request counts for the popularity of its shared text
 constexpr double kPopularPrior = 4;       // requests for other texts that are taken as seen
-constexpr double kHomesSpread = 1.5;    // homes of a shared text against its part of the requests, in readers
-constexpr double kMemoryPrior = 2e5;    // tokens, of a server that does not tell its memory
-constexpr double kLastResort = 100;     // cost of having a pure writer read
-constexpr int kMostHeldTried = 16;      // requests that may stay before a pass over our queue ends
-constexpr double kNearlyFull = 1.0;     // a writer's memory share from which it yields
-constexpr double kYieldShare = 0.3;     // cost of a writer that should yield, of the shortest aim
-constexpr double kPaceMemory = 10;      // seconds of streams that a writer's pace is judged by
-constexpr double kPacePrior = 4;        // streams of the usual length that are taken as seen
-constexpr double kPaceStep = 0.05;      // how far one answer moves what is usual for its class
-constexpr double kSlowPace = 3;         // a writer whose streams last this much longer than usual is slow
-constexpr double kLetIn = 0.5;          // of its aim that a first token may be expected to take to be let in
+constexpr double kHomesSpread = 1.5;  // homes of a shared text against its part of the requests, in readers
+constexpr double kMemoryPrior = 2e5;  // tokens, of a server that does not tell its memory
+constexpr double kLastResort = 100;   // cost of having a pure writer read
+constexpr int kMostHeldTried = 16;    // requests that may stay before a pass over our queue ends
+constexpr double kNearlyFull = 1.0;   // a writer's memory share from which it yields
+constexpr double kYieldShare = 0.3;   // cost of a writer that should yield, of the shortest aim
+constexpr double kPaceMemory = 10;    // seconds of streams that a writer's pace is judged by
+constexpr double kPacePrior = 4;      // streams of the usual length that are taken as seen
+constexpr double kPaceStep = 0.05;    // how far one answer moves what is usual for its class
+constexpr double kSlowPace = 3;       // a writer whose streams last this much longer than usual is slow
+constexpr double kLetIn = 0.5;        // of its aim that a first token may be expected to take to be let in
+constexpr double kNoQueue = 0.25;     // mean prompts that all nodes have at a reader below which none queues
 constexpr double kOverShareRoom = 0.4;  // ... and of that, for those beyond their tenant's share
 constexpr double kShareSpan = 4;        // seconds of its share that a tenant may ask for at once
 constexpr double kShareChance = 3;      // ... and deviations of chance round that
@@ -679,8 +680,12 @@
     if (plan.server != nullptr) {
       if (now_ + plan.time >= r.deadline || r.sends + (plan.whole ? 1 : 2) > set_.maxAttempts)
         return finish(r), true;
-      const double most = kLetIn * roomOf(r) * (r.overShare ? kOverShareRoom : 1);
-      if (plan.time + plan.onward <= most) {
+      const double room = roomOf(r) * (r.overShare ? kOverShareRoom : 1), then = plan.time + plan.onward;
+      const Server& reader = *plan.server;
+      const double queued = set_.nodes * pool(reader).queued / figure(meanPrompt_, 1000);
+      // The room is for queues: where readers have none, a long prompt may take the time of its own reading.
+      const bool none = !r.overShare && queued < kNoQueue && reader.unanswered() == 0;
+      if (then <= kLetIn * room || (none && now_ + then <= r.aimAt)) {
         if (looksFirst(r, *plan.server)) return false;
         return sendRead(r, plan), true;
       }
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -483,6 +483,25 @@
   EXPECT_NE(sentTo(host.feed(1.41, ask("next", 1000, 2))), 0U);
 }
 
+// The room of a class worth more keeps queues short; a long prompt that finds none takes nobody's.
+TEST(Overload, ALongPromptIsLetInWhileNothingQueues) {
+  for (const bool marked : {false, true}) {
+    Settings settings = twoStageSettings();
+    settings.classes.push_back(settings.classes[0]);
+    settings.classes[1].aim = Duration(4);
+    settings.classes[0].worth = 3;
+    Host host(settings);
+    host.list(1, {server(1, Role::kPrefill), server(2, Role::kDecode)});
+    RequestArrived r = ask("long", 12000, 1);  // 1.2 s of reading: over half of the other class's aim
+    r.classIndex = 1;
+    r.timeLeft = Duration(10);
+    r.isRetry = marked;
+    EXPECT_EQ(sentTo(host.feed(1.1, r)), marked ? 0U : 1U);
+    if (marked) continue;
+    EXPECT_EQ(sentTo(host.feed(1.12, ask("behind", 9000, 2))), 0U) << "that one would queue";
+  }
+}
+
 // What the node saw of late is that first tokens come after the aim: nothing more is read until that is over.
 TEST(Overload, LetsInByTheExpectedFirstToken) {
   Host host(twoStageSettings());
