--- a/src/platform/node.cpp
+++ b/src/platform/node.cpp
@@ -31,7 +31,7 @@
 }  // namespace
 
 Node::Node(net::Loop& loop, Configuration configuration, Log log,
-           std::function<void(const router::Record&)> record)
+           const std::function<void(const router::Record&)>& record)
     : loop_(loop),
       configuration_(std::move(configuration)),
       log_(std::move(log)),
--- a/src/platform/node.h
+++ b/src/platform/node.h
@@ -20,7 +20,7 @@
       std::function<void(const std::string& package, const std::string& level, const std::string& text)>;
   // Listens, takes the known list and opens the watch. Throws std::system_error where it cannot listen.
   Node(net::Loop& loop, Configuration configuration, Log log,
-       std::function<void(const router::Record&)> record = nullptr);
+       const std::function<void(const router::Record&)>& record = nullptr);
   ~Node();
   Node(const Node&) = delete;
   Node& operator=(const Node&) = delete;
