A single reset connection is no lost contact: its engine does not start cold

Records: 2179 of 2699 requests refused beside 56 connections reset, 34 of them idle ones that engines had closed early; no engine was gone. At fault: blame() and recovered() in src/policy/policy.cpp: one reset was enough for lost contact, and each engine that answered again counted as cold for 13 s, so that soon all did. Change: a reset counts one step, a connection that cannot be had two as before; slow start follows only a contact that was lost.

--- a/src/policy/policy.cpp
+++ b/src/policy/policy.cpp
@@ -917,7 +917,8 @@
   void blame(Server& s, const Request& r, Outcome outcome) {
     const bool contact = outcome == Outcome::kConnectFailed || outcome == Outcome::kReset;
     if (contact) suspectCell(s);
-    if (contact) return worsen(s.contact, 2);
+    // One connection may be reset for itself; a process that is gone breaks several, and takes no new ones.
+    if (contact) return worsen(s.contact, outcome == Outcome::kReset ? 1 : 2);
     const bool silent = outcome == Outcome::kTimeout;
     if (silent && tooManyOut(s.entry.role, r)) return;
     for (const int part : r.parts) worsen(s.illness[part], silent ? 2 : 1);
@@ -956,7 +957,7 @@
     double& last = s.answeredSent[r.ask.classIndex];
     last = std::max(last, r.sentAt);
     for (const int part : r.parts) s.illness[part].set(kHealing * level(s.illness[part]), now_);
-    if (level(s.contact) > kFailureStep / 2) s.coldSince = std::max(s.coldSince, now_);  // slow start
+    if (level(s.contact) >= kEjectAt) s.coldSince = std::max(s.coldSince, now_);  // slow start
     s.contact = s.suspect = {};
   }
 
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -153,6 +153,22 @@
   return r;
 }
 
+// One connection may be reset for itself: only a second sign without an answer between counts as lost
+// contact.
+TEST(Health, ASingleResetIsNoLostContact) {
+  for (const int resets : {1, 2}) {
+    Host host(test::twoStageSettings());
+    host.list(0, {server(1, Role::kPrefill), server(3, Role::kPrefill), server(2, Role::kDecode)});
+    const std::uint32_t home = test::sentTo(host.feed(0, ofSession("a", 5)));
+    ASSERT_EQ(test::sentTo(host.feed(0.01, ofSession("b", 5))), home);
+    host.ended(0.02, "a", home, Outcome::kReset);
+    if (resets > 1) host.ended(0.03, "b", home, Outcome::kReset);
+    host.run(0.1);
+    if (resets == 1) host.ended(0.11, "b", home, Outcome::kPrefilled);  // it answers: all is well again
+    EXPECT_EQ(test::sentTo(host.feed(0.15, ofSession("c", 5))) == home, resets == 1);
+  }
+}
+
 // Guards against answers that are lost on their way, one at a time: the server answers others meanwhile.
 TEST(Silence, OneThatLaterOnesHaveOvertakenIsCalledOffAloneAndNoServerIsBlamed) {
   for (const bool overtaken : {true, false}) {
