Engines keep their earlier numbers: another hash moved every session's home

Nodes of two versions would also have sent a session to two homes. That homes weigh so much on a small fleet is noted as open, not tuned.

--- a/cmake/Program.cmake
+++ b/cmake/Program.cmake
@@ -46,7 +46,7 @@
 target_link_libraries(gannetcourse_http1 PRIVATE Boost::headers)
 gannetcourse_room(platform SOURCES src/platform/configuration.cpp src/platform/discovery.cpp src/platform/events.cpp
                                    src/platform/engines.cpp src/platform/front.cpp src/platform/node.cpp
-                  LINK gannetcourse_driver gannetcourse_http1 gannetcourse_instance PkgConfig::XXHASH)
+                  LINK gannetcourse_driver gannetcourse_http1 gannetcourse_instance)
 gannetcourse_room(daemon SOURCES src/daemon/log.cpp src/daemon/serve.cpp src/daemon/signals.cpp
                                  src/daemon/platform.cpp
                   LINK gannetcourse_node gannetcourse_platform spdlog::spdlog nlohmann_json::nlohmann_json)
--- a/src/platform/discovery.cpp
+++ b/src/platform/discovery.cpp
@@ -1,7 +1,5 @@
 #include "platform/discovery.h"
 
-#include <xxhash.h>
-
 #include <utility>
 
 namespace gannetcourse::platform {
@@ -48,8 +46,12 @@
   return list;
 }
 
+// FNV-1a, 32 bits. Homes of sessions go by these numbers: nodes of all versions must agree on them, and
+// another hash moves every home.
 ServerId numberOf(const std::string& name) {
-  return {static_cast<std::uint32_t>(XXH3_64bits(name.data(), name.size()))};
+  std::uint32_t hash = 2166136261U;
+  for (const char c : name) hash = (hash ^ static_cast<unsigned char>(c)) * 16777619U;
+  return {hash};
 }
 
 std::optional<ToldList> readTargets(const Json& object, const instance::Names& names,
