--- a/include/gannetcourse/policy.h
+++ b/include/gannetcourse/policy.h
@@ -173,6 +173,9 @@
   RequestId id;
   ServerId server;
   Duration timeout{0};
+  // What the decision expected, for the records: until the read's end or the first token, and tokens kept.
+  Duration expected{0};
+  double expectedKept = 0;
 };
 struct Reserve {
   RequestId id;
--- a/src/daemon/signals.cpp
+++ b/src/daemon/signals.cpp
@@ -25,7 +25,7 @@
   close(fd_);
 }
 
-void Signals::onReady(bool, bool) {
+void Signals::onReady(const net::Ready&) {
   signalfd_siginfo info{};
   while (read(fd_, &info, sizeof info) == sizeof info) tell_(static_cast<int>(info.ssi_signo));
 }
--- a/src/daemon/signals.h
+++ b/src/daemon/signals.h
@@ -14,7 +14,7 @@
   ~Signals() override;
 
  private:
-  void onReady(bool readable, bool writable) override;
+  void onReady(const net::Ready& ready) override;
 
   net::Loop& loop_;
   std::function<void(int)> tell_;
--- a/src/http1/client.cpp
+++ b/src/http1/client.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "http1/life.h"
+
 namespace gannetcourse::http1 {
 namespace {
 
@@ -37,7 +39,7 @@
   // Whether it can take a further call: what the kernel holds is read first, an end above all.
   bool usable() {
     if (connection_.connected()) connection_.poll();
-    return connection_.connected() && call_ == 0 && !dropped_;
+    return life_.idle();
   }
 
   void cancel() {
@@ -46,32 +48,36 @@
   }
 
   void close() {
+    life_.on(ClientHappening::kGivenUp);
     connection_.close();
     client_.drop(this);
   }
 
   void look(Instant now) {
-    if (call_ == 0 && now - idleSince_ > client_.options_.idle) return close();
-    if (call_ == 0 || connection_.frozen() || !parser_->midway()) return;
+    if (life_.idle() && now - restsSince_ > client_.options_.idle) return close();
+    if (life_.phase() != ClientPhase::kCalling || connection_.frozen() || !parser_->midway()) return;
     if (now - heardAt_ > client_.options_.midway) fail(End::kSpoilt, "silent inside its answer");
   }
 
   void freeze(bool frozen) { connection_.freeze(frozen); }
   const net::Endpoint& to() const { return to_; }
-  bool idle() const { return call_ == 0 && connection_.connected(); }
-  Instant idleSince() const { return idleSince_; }
+  const ClientLife& life() const { return life_; }
+  Instant restsSince() const { return restsSince_; }
 
  private:
   friend class Client;
 
-  void onConnected() override { connection_.flush(); }
+  void onConnected() override {
+    life_.on(ClientHappening::kUp);
+    connection_.flush();
+  }
   void onWritable() override {}
 
   void onBytes(std::span<const std::uint8_t> bytes) override {
     heardAt_ = client_.loop_.now();
-    if (call_ == 0) return close();  // nobody asked
+    if (!life_.on(ClientHappening::kUnaskedBytes)) return close();
     const State state = parser_->take({reinterpret_cast<const char*>(bytes.data()), bytes.size()});
-    if (dropped_ || call_ == 0) return;
+    if (life_.phase() != ClientPhase::kCalling) return;
     if (state == State::kBad) return fail(End::kSpoilt, "its answer cannot be read");
     if (state == State::kWhole) whole();
   }
@@ -79,18 +85,29 @@
   void whole() {
     const std::shared_ptr<CallSink> sink = std::move(sink_);
     client_.calls_.erase(std::exchange(call_, 0));
-    idleSince_ = client_.loop_.now();
+    restsSince_ = client_.loop_.now();
     const bool keep = parser_->reusable() && connection_.pending() == 0 && client_.forgotten_.count(to_) == 0;
-    if (keep) {
-      client_.idle_[to_].push_back(this);
+    if (life_.on(keep ? ClientHappening::kAnswerKept : ClientHappening::kAnswerLast)) {
+      client_.loop_.after(client_.options_.rest, [this, alive = client_.alive_, self = self_] {
+        if (*alive && !self.expired()) rested();
+      });
     } else {
       close();
     }
     if (sink) sink->end(End::kWhole, "");
   }
 
+  // Nothing has come behind its answer: it may take a call.
+  void rested() {
+    if (life_.phase() != ClientPhase::kResting) return;
+    if (client_.forgotten_.count(to_) > 0) return close();
+    life_.on(ClientHappening::kRested);
+    client_.idle_[to_].push_back(this);
+  }
+
   void onClosed(const std::string& reason) override {
     const bool written = connection_.pending() == 0;  // on one that never came up it all waits
+    life_.on(ClientHappening::kPeerEnded);
     client_.drop(this);
     if (sink_) tell(written ? End::kBroken : End::kNotConnected, reason);
   }
@@ -111,11 +128,12 @@
   Client& client_;
   net::Connection connection_;
   net::Endpoint to_;
+  ClientLife life_;
+  std::weak_ptr<ClientConnection> self_;
   std::unique_ptr<ResponseParser> parser_;
   std::shared_ptr<CallSink> sink_;
   CallId call_ = 0;
-  bool dropped_ = false;
-  Instant idleSince_{}, heardAt_{};
+  Instant restsSince_{}, heardAt_{};
 };
 
 Client::Client(net::Loop& loop, const ClientOptions& options) : loop_(loop), options_(options) {
@@ -133,6 +151,7 @@
   ClientConnection* connection = idleTo(to);
   if (connection != nullptr) {
     calls_[call] = connection;
+    connection->life_.on(ClientHappening::kCall);
     connection->begin(call, head, body, std::move(sink));
     return call;
   }
@@ -144,10 +163,11 @@
   }
   connections_.push_back(std::make_shared<ClientConnection>(*this, to));
   connection = connections_.back().get();
+  connection->self_ = connections_.back();
   ++opened_;
   calls_[call] = connection;
   connection->open();
-  if (connection->dropped_) {  // at once
+  if (connection->life().closed()) {  // at once
     loop_.defer([sink = std::move(sink), alive = alive_] {
       if (*alive) sink->end(End::kNotConnected, "no connection");
     });
@@ -172,7 +192,7 @@
     ClientConnection* const newest = it->second.back();
     it->second.pop_back();
     if (newest->usable()) return newest;
-    if (!newest->dropped_) newest->close();
+    if (!newest->life().closed()) newest->close();
   }
   return nullptr;
 }
@@ -182,11 +202,17 @@
   return it != idle_.end() && !it->second.empty();
 }
 
+std::size_t Client::idle() const {
+  std::size_t sum = 0;
+  for (const auto& [to, connections] : idle_) sum += connections.size();
+  return sum;
+}
+
 // Closes the connection that has been idle for longest.
 bool Client::makeRoom() {
   ClientConnection* oldest = nullptr;
   for (const auto& c : connections_) {
-    if (c->idle() && (oldest == nullptr || c->idleSince() < oldest->idleSince())) oldest = c.get();
+    if (c->life().unused() && (oldest == nullptr || c->restsSince() < oldest->restsSince())) oldest = c.get();
   }
   if (oldest == nullptr) return false;
   oldest->close();
@@ -204,21 +230,21 @@
 void Client::sweep() {
   const std::list<std::shared_ptr<ClientConnection>> all = connections_;
   for (const auto& c : all) {
-    if (!c->dropped_) c->look(loop_.now());
+    if (!c->life().closed()) c->look(loop_.now());
   }
   sweepTimer_ = loop_.after(kSweep, [this] { sweep(); });
 }
 
 void Client::drop(ClientConnection* connection) {
-  if (std::exchange(connection->dropped_, true)) return;
+  const auto it = std::find_if(connections_.begin(), connections_.end(),
+                               [&](const auto& c) { return c.get() == connection; });
+  if (it == connections_.end()) return;  // dropped before
   calls_.erase(connection->call_);
   const auto idle = idle_.find(connection->to());
   if (idle != idle_.end()) {
     std::erase(idle->second, connection);
     if (idle->second.empty()) idle_.erase(idle);
   }
-  const auto it = std::find_if(connections_.begin(), connections_.end(),
-                               [&](const auto& c) { return c.get() == connection; });
   loop_.defer([gone = *it] {});
   connections_.erase(it);
 }
--- a/src/http1/client.h
+++ b/src/http1/client.h
@@ -22,6 +22,7 @@
   Limits limits;
   std::size_t maxConnections = 256;  // to all servers together
   Duration connectTimeout{0.25};
+  Duration rest{0.05};  // after an answer, for a second one that does not belong to it to show
   Duration idle{7};    // an idle connection is closed after it, well before its server would
   Duration midway{3};  // silence inside a head or chunk after which the answer counts as spoilt
 };
@@ -65,6 +66,7 @@
   void take(const ClientOptions& options) { options_ = options; }
 
   std::size_t connections() const { return connections_.size(); }
+  std::size_t idle() const;  // connections that a call may use
   std::uint64_t opened() const { return opened_; }
 
  private:
--- a/src/http1/parser.cpp
+++ b/src/http1/parser.cpp
@@ -179,6 +179,7 @@
 std::uint64_t RequestParser::held() const {
   return impl_->kept_.capacity() + impl_->request_.body.capacity();
 }
+std::size_t RequestParser::waiting() const { return impl_->kept_.size(); }
 void RequestParser::next() { impl_->next(); }
 
 class ResponseParser::Impl {
--- a/src/http1/server.cpp
+++ b/src/http1/server.cpp
@@ -5,8 +5,11 @@
 #include <algorithm>
 #include <array>
 #include <charconv>
+#include <tuple>
 #include <utility>
 
+#include "http1/life.h"
+
 namespace gannetcourse::http1 {
 namespace {
 
@@ -66,7 +69,7 @@
     if (last) text += "Connection: close\r\n";
     text.append("\r\n").append(body);
     connection_.append(text);
-    finish(last);
+    answered(last);
   }
 
   void begin(std::string_view fields) {
@@ -86,60 +89,94 @@
 
   void end() {
     connection_.append("0\r\n\r\n");
-    finish(!keep_ || server_.draining_);
+    answered(!keep_ || server_.draining_);
   }
 
-  void cut() {
-    detach();
-    close();
-  }
+  void cut() { answered(true); }
 
   void close() {
     connection_.close();
     server_.drop(this);
   }
 
-  bool busy() const { return exchange_ != nullptr || parser_.started() || closing_; }
-  bool idle() const { return !busy(); }
-  std::uint64_t held() const { return exchange_ ? 0 : parser_.held(); }
+  void drain() { happens(ServerHappening::kDrain); }
+  const ServerLife& life() const { return life_; }
+  std::uint64_t held() const { return parser_.held(); }
 
   void look(Instant now) {
-    const ServerOptions& o = server_.options_;
-    if (connection_.pending() == 0) progressAt_ = now;
-    if (connection_.pending() != lastPending_) progressAt_ = now;
+    if (connection_.pending() == 0 || connection_.pending() != lastPending_) progressAt_ = now;
     lastPending_ = connection_.pending();
-    if ((closing_ || exchange_) && now - progressAt_ > (closing_ ? o.requestWithin : o.stalled)) {
-      gone();
-      return close();
+    if (now > dueAt()) happens(ServerHappening::kOverdue);
+  }
+
+ private:
+  // When the phase that it is in has lasted too long.
+  Instant dueAt() const {
+    const ServerOptions& o = server_.options_;
+    switch (life_.phase()) {
+      case ServerPhase::kFresh:
+      case ServerPhase::kReceiving:
+        return since_ + o.requestWithin;
+      case ServerPhase::kIdle:
+        return connection_.pending() > 0 ? progressAt_ + o.stalled : since_ + o.idle;
+      case ServerPhase::kAnswering:
+        return std::max(since_, progressAt_) + o.stalled;
+      case ServerPhase::kFlushing:
+        return std::max(since_, progressAt_) + o.requestWithin;
+      default:
+        return since_ + o.linger;
     }
-    if (exchange_ || closing_) return;
-    if (parser_.started()) {
-      if (now - since_ > o.requestWithin) turnAway(408);
-    } else if (now - since_ > (asked_ ? o.idle : o.requestWithin)) {
-      close();
+  }
+
+  void happens(ServerHappening what) {
+    const ServerPhase before = life_.phase();
+    const ServerStep step = life_.on(what);
+    if (life_.phase() != before) since_ = server_.loop_.now();
+    switch (step) {
+      case ServerStep::kServe:
+        return serve();
+      case ServerStep::kTurnAway:
+        return refuse(what == ServerHappening::kOverdue ? 408 : turnAwayAs_);
+      case ServerStep::kFlush:
+        return flushed();
+      case ServerStep::kShut:
+        return connection_.shut();
+      case ServerStep::kGone:
+        gone();
+        return close();
+      case ServerStep::kClose:
+        detach();
+        return close();
+      case ServerStep::kNone:
+        return;
     }
   }
 
- private:
   void onBytes(std::span<const std::uint8_t> bytes) override {
-    if (closing_) return;  // of one that is turned away
-    if (idle()) since_ = server_.loop_.now();
-    if (!parser_.append({reinterpret_cast<const char*>(bytes.data()), bytes.size()})) {
-      if (!exchange_) return turnAway(413);
-      gone();
-      return close();
-    }
-    if (!exchange_) parse();
+    if (!life_.reads()) return discard(bytes.size());
+    if (!parser_.append({reinterpret_cast<const char*>(bytes.data()), bytes.size()}))
+      return life_.answering() ? happens(ServerHappening::kPeerEnded) : turnAway(413);
+    if (exchange_) return holdReading(ahead());  // for later: past the bound the client has to wait
+    happens(ServerHappening::kBytes);
+    parse();
+  }
+
+  // What comes behind a last answer is dropped, up to a bound.
+  void discard(std::size_t bytes) {
+    discarded_ += bytes;
+    if (discarded_ > server_.options_.limits.body) happens(ServerHappening::kPeerEnded);
   }
 
   void parse() {
     const State state = parser_.parse();
     if (state == State::kBad) return turnAway(parser_.status());
-    if (state == State::kMore) {
-      if (parser_.held() > server_.options_.limits.head && server_.held() > server_.options_.maxHeld)
-        turnAway(503);
-      return;
-    }
+    if (state == State::kWhole) return happens(ServerHappening::kRequestWhole);
+    if (parser_.held() > server_.options_.limits.head && server_.held() > server_.options_.maxHeld)
+      return turnAway(503);
+    holdReading(false);
+  }
+
+  void serve() {
     exchange_ = std::make_shared<Exchange>(this);
     exchange_->request = std::move(parser_.request());
     keep_ = exchange_->request.keepAlive;
@@ -150,35 +187,63 @@
   }
 
   void turnAway(int status) {
-    detach();
+    turnAwayAs_ = status;
+    happens(ServerHappening::kUnreadable);
+  }
+
+  void refuse(int status) {
+    keep_ = false;
     respond(status, "", "the request cannot be read or did not come in time\n", true);
   }
 
   // The answer is whole.
-  void finish(bool last) {
+  void answered(bool last) {
     detach();
-    since_ = server_.loop_.now();
     paused_ = false;
-    closing_ = last;
+    happens(last ? ServerHappening::kAnsweredLast : ServerHappening::kAnswered);
     connection_.flush();
     if (!connection_.open()) return;
-    if (closing_ && connection_.pending() == 0) return close();
-    if (parser_.started() && !closing_) {
+    if (life_.phase() == ServerPhase::kFlushing) return flushed();
+    if (parser_.started() && life_.phase() == ServerPhase::kIdle) {
       server_.loop_.defer([this, alive = server_.alive_, mark = mark_] {
-        if (*alive && !*mark && !exchange_ && !closing_) parse();
+        if (*alive && !*mark && life_.phase() == ServerPhase::kIdle) nextAhead();
       });
     }
   }
 
+  // Whether as much waits behind a request as may. Reading on is what shows that a client has gone: an end
+  // that comes behind bytes that nobody reads cannot be seen.
+  bool ahead() const {
+    const std::size_t most = server_.options_.limits.ahead;
+    if (parser_.waiting() < most / 8) return false;
+    return parser_.waiting() >= most || server_.held() > server_.options_.maxHeld;
+  }
+
+  // A request whose bytes came while another was answered.
+  void nextAhead() {
+    holdReading(ahead());
+    if (life_.phase() != ServerPhase::kIdle) return;  // it has gone
+    happens(ServerHappening::kBytes);
+    parse();
+  }
+
+  void flushed() {
+    if (connection_.pending() > 0) return;
+    holdReading(false);
+    happens(ServerHappening::kFlushed);
+  }
+
+  void holdReading(bool held) {
+    if (std::exchange(holding_, held) != held) connection_.hold(held);
+  }
+
   void onWritable() override {
-    if (closing_ && connection_.pending() == 0) return close();
+    if (life_.phase() == ServerPhase::kFlushing) return flushed();
     if (exchange_ && std::exchange(paused_, false) && exchange_->onPaused) exchange_->onPaused(false);
   }
 
-  void onClosed(const std::string&) override {
-    gone();
-    server_.drop(this);
-  }
+  void onPeerEnded() override { happens(ServerHappening::kPeerEnded); }
+  void onClosed(const std::string&) override { happens(ServerHappening::kPeerEnded); }
 
   void gone() {
     const std::shared_ptr<Exchange> left = exchange_;
@@ -195,12 +260,15 @@
   Server& server_;
   net::Connection connection_;
   RequestParser parser_;
+  ServerLife life_;
   std::shared_ptr<Exchange> exchange_;
   std::shared_ptr<bool> mark_ = std::make_shared<bool>(false);  // true: dropped
-  bool keep_ = true, closing_ = false, asked_ = false, paused_ = false;
-  Instant since_;  // of its last change between idle and busy
+  bool keep_ = true, asked_ = false, paused_ = false, holding_ = false;
+  int turnAwayAs_ = 400;
+  Instant since_;  // when its phase began
   Instant progressAt_{};
   std::size_t lastPending_ = 0;
+  std::uint64_t discarded_ = 0;
 };
 
 void Exchange::respond(int status, std::string_view fields, std::string_view body, bool close) {
@@ -242,12 +310,17 @@
   connections_.push_back(std::make_unique<ServerConnection>(*this, fd));
 }
 
-// Closes the connection that has gone longest without a request; those that never had one go first.
+// Closes a connection that is ended already, else the one that has gone longest without a request; those that
+// never had one go first.
 bool Server::makeRoom() {
   ServerConnection* victim = nullptr;
   for (const auto& c : connections_) {
-    if (c->exchange_ || c->closing_ || *c->mark_ || (c->asked_ && c->parser_.started())) continue;
-    const auto rank = [](const ServerConnection& s) { return std::pair(s.asked_, s.since_); };
+    const ServerPhase phase = c->life_.phase();
+    const bool begun = c->asked_ && phase == ServerPhase::kReceiving;
+    if (phase == ServerPhase::kAnswering || phase == ServerPhase::kFlushing || *c->mark_ || begun) continue;
+    const auto rank = [](const ServerConnection& s) {
+      return std::tuple(s.life_.phase() != ServerPhase::kLingering, s.asked_, s.since_);
+    };
     if (victim == nullptr || rank(*c) < rank(*victim)) victim = c.get();
   }
   if (victim == nullptr) return false;
@@ -276,16 +349,20 @@
 
 void Server::drain() {
   draining_ = true;
-  std::vector<ServerConnection*> idle;
+  for (const auto& c : connections_) c->drain();
+}
+
+void Server::end() {
+  draining_ = true;
+  listener_.close();
   for (const auto& c : connections_) {
-    if (c->idle() && c->asked_) idle.push_back(c.get());
+    if (c->life().resting()) c->happens(ServerHappening::kOverdue);
   }
-  for (ServerConnection* const c : idle) c->close();
 }
 
 std::size_t Server::busy() const {
   return static_cast<std::size_t>(
-      std::count_if(connections_.begin(), connections_.end(), [](const auto& c) { return c->busy(); }));
+      std::count_if(connections_.begin(), connections_.end(), [](const auto& c) { return !c->life().resting(); }));
 }
 
 std::uint64_t Server::held() const {
--- a/src/http1/server.h
+++ b/src/http1/server.h
@@ -21,6 +21,7 @@
   Duration requestWithin{2.7};        // a connection's first request, and the rest of one begun
   Duration idle{15};                  // a connection without a request is closed after it
   Duration stalled{20};               // ... and one whose client takes nothing
+  Duration linger{1};                 // after our sending has ended, for the client to end as well
 };
 
 class ServerConnection;
@@ -56,10 +57,12 @@
 
   std::uint16_t port() const { return listener_.port(); }
   void take(const ServerOptions& options);  // bounds only
-  // From now on each answer ends its connection, and those without a request are closed.
+  // From now on each answer ends its connection, and those between two requests are ended.
   void drain();
+  // Takes no new connections and ends those on which nothing is asked. busy() tells when all have ended.
+  void end();
   std::size_t connections() const { return connections_.size(); }
-  std::size_t busy() const;  // connections with a request, whole or begun
+  std::size_t busy() const;  // connections that have more to do than to wait for a request
 
  private:
   friend class ServerConnection;
--- a/src/net/connection.cpp
+++ b/src/net/connection.cpp
@@ -30,6 +30,7 @@
 }
 
 constexpr int kBacklog = 4096;
+const Duration kAcceptAgain{0.1};  // after accepting failed
 
 // A socket that is bound to the address, whose port is filled in; -1 where that cannot be.
 int bound(sockaddr_in& address) {
@@ -93,13 +94,14 @@
   owner_.onConnected();
 }
 
-void Connection::onReady(bool readable, bool writable) {
+void Connection::onReady(const Ready& ready) {
   if (connecting_) {
-    if (!writable) return;
+    if (!ready.writable) return;
     finishConnect();
   }
-  if (readable) readAll();
-  if (writable && connected() && !frozen_) {
+  if (ready.ended && connected()) owner_.onPeerEnded();
+  if (ready.readable) readAll();
+  if (ready.writable && connected() && !frozen_) {
     flush();
     if (wantsOutput()) owner_.onWritable();
   }
@@ -109,7 +111,7 @@
   if (reading_) return;  // the owner asked for it while it is told of bytes
   reading_ = true;
   std::array<std::uint8_t, 16384> buffer;
-  while (connected() && (!frozen_ || polled_)) {
+  while (connected() && ((!frozen_ && !held_) || polled_)) {
     const auto got = recv(fd_, buffer.data(), buffer.size(), 0);
     if (got > 0) {
       owner_.onBytes({buffer.data(), static_cast<std::size_t>(got)});
@@ -175,6 +177,15 @@
   if (wantsOutput()) owner_.onWritable();
 }
 
+void Connection::hold(bool held) {
+  held_ = held;
+  if (!held_) readAll();
+}
+
+void Connection::shut() {
+  if (connected()) shutdown(fd_, SHUT_WR);
+}
+
 void Connection::fail(const std::string& reason) {
   dropSocket();
   owner_.onClosed(reason);
@@ -202,13 +213,18 @@
   loop_.watch(fd_, this);
 }
 
-void Listener::onReady(bool, bool) {
+void Listener::onReady(const Ready&) { acceptAll(); }
+
+void Listener::acceptAll() {
   while (fd_ >= 0 && !paused_) {
     const int fd = accept4(fd_, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
     if (fd >= 0) {
       accept_(fd);
     } else if (errno != EINTR && errno != ECONNABORTED) {
-      if (errno != EAGAIN) retryTimer_ = loop_.after(Duration(0.1), [this] { onReady(true, false); });
+      if (errno != EAGAIN && retryTimer_ == 0) retryTimer_ = loop_.after(kAcceptAgain, [this] {
+          retryTimer_ = 0;
+          acceptAll();
+        });
       return;  // out of descriptors: the kernel keeps the rest
     }
   }
@@ -229,7 +245,7 @@
 
 void Listener::pause(bool paused) {
   paused_ = paused;
-  if (!paused_) onReady(true, false);
+  if (!paused_) acceptAll();
 }
 
 void Listener::close() {
--- a/src/net/connection.h
+++ b/src/net/connection.h
@@ -31,6 +31,8 @@
   virtual void onConnected() {}
   virtual void onBytes(std::span<const std::uint8_t> bytes) = 0;
   virtual void onWritable() = 0;  // output fell below the watermark
+  // The peer has ended its sending, told before what it sent last is read, held or not.
+  virtual void onPeerEnded() {}
   // Told once, whoever closed; not after close() or abort(). `reason` is a short plain text.
   virtual void onClosed(const std::string& reason) = 0;
 };
@@ -59,15 +61,18 @@
 
   void close();  // at once
   void abort();  // at once, with a RST
+  void shut();   // ends our sending; reading goes on. To be called once nothing is pending
 
   // Stops reading and writing, as a machine that went silent: nothing is lost, the kernel keeps what comes.
   void freeze(bool frozen);
   bool frozen() const { return frozen_; }
+  // Leaves what comes in the kernel, so that the peer must wait; writing goes on.
+  void hold(bool held);
   // Reads what the kernel holds now, frozen or not, whether or not an event has told of it.
   void poll();
 
  private:
-  void onReady(bool readable, bool writable) override;
+  void onReady(const Ready& ready) override;
   void finishConnect();
   void readAll();
   void fail(const std::string& reason);
@@ -76,7 +81,7 @@
   Loop& loop_;
   ConnectionOwner& owner_;
   int fd_ = -1;
-  bool connecting_ = false, frozen_ = false, reading_ = false, polled_ = false;
+  bool connecting_ = false, frozen_ = false, held_ = false, reading_ = false, polled_ = false;
   TimerId connectTimer_ = 0;
   std::string out_;
   std::size_t outAt_ = 0;
@@ -95,7 +100,8 @@
   void close();
 
  private:
-  void onReady(bool readable, bool writable) override;
+  void onReady(const Ready& ready) override;
+  void acceptAll();
 
   Loop& loop_;
   Accept accept_;
--- a/src/net/loop.cpp
+++ b/src/net/loop.cpp
@@ -123,8 +123,9 @@
     }
     const auto it = watchers_.find(fd);  // may have been closed, and its number reused, in this iteration
     if (it == watchers_.end() || it->second.second != static_cast<std::uint32_t>(tag >> 32)) continue;
-    it->second.first->onReady((ready & (EPOLLIN | EPOLLRDHUP | EPOLLHUP | EPOLLERR)) != 0,
-                              (ready & (EPOLLOUT | EPOLLHUP | EPOLLERR)) != 0);
+    it->second.first->onReady({(ready & (EPOLLIN | EPOLLRDHUP | EPOLLHUP | EPOLLERR)) != 0,
+                               (ready & (EPOLLOUT | EPOLLHUP | EPOLLERR)) != 0,
+                               (ready & (EPOLLRDHUP | EPOLLHUP | EPOLLERR)) != 0});
   }
   runTimers();
   runDeferred();
--- a/src/net/loop.h
+++ b/src/net/loop.h
@@ -29,11 +29,15 @@
   double offset_;  // seconds from wall clock to the router's clock
 };
 
+// What a watched descriptor has become. `ended`: its peer sends nothing more, or is gone.
+struct Ready {
+  bool readable = false, writable = false, ended = false;
+};
 // Told when a watched descriptor becomes ready. Edge-triggered: read or write until EAGAIN.
 class Watcher {
  public:
   virtual ~Watcher() = default;
-  virtual void onReady(bool readable, bool writable) = 0;
+  virtual void onReady(const Ready& ready) = 0;
 };
 
 using TimerId = std::uint64_t;  // 0 = none
--- a/src/platform/discovery.cpp
+++ b/src/platform/discovery.cpp
@@ -7,16 +7,19 @@
 
 using instance::Json;
 
-const Duration kRetry{0.2};  // before a watch that ended is opened again
-const Duration kSilent{5};   // an empty line comes every 2 s: without one for this long the watch is dead
-const Duration kLook{0.5};
-constexpr std::size_t kMostLine = 8U << 20;  // bytes of one object
+// An empty line comes every 2 s. A change counts as told 6 s after discovery had it: a watch without a sign of
+// life for kSilent gets a second one beside it, opened anew every kRenew until one of them speaks.
+const Duration kSilent{2.8}, kRenew{2.5}, kLook{0.2};
+// Pauses before one that ended or was refused is opened again; the first again after one that lived for a while.
+const Duration kRetryFirst{0.2}, kRetryMost{0.5}, kLived{2};
+const Duration kOlderFor{2};  // discovery that tells only lists older than ours for this long counts anew
+constexpr std::size_t kMostObject = 8U << 20;  // bytes of one object
 
 http1::ClientOptions watchOptions() {
   http1::ClientOptions options;
   options.limits.body = 0;
   options.maxConnections = 2;
-  options.connectTimeout = Duration(1);
+  options.connectTimeout = Duration(0.5);
   return options;
 }
 
@@ -73,70 +76,167 @@
   return list;
 }
 
-class Watch::Stream final : public http1::CallSink {
+// ---- Objects out of the bytes of a watch ----
+bool ObjectCutter::take(std::string_view bytes, const std::function<void(std::string object)>& tell) {
+  bool alive = false;
+  for (const char c : bytes) {
+    if (depth_ == 0 && c != '{') {
+      alive = alive || c == '\n';
+      continue;
+    }
+    object_.push_back(c);
+    if (std::exchange(escaped_, false)) continue;
+    if (quoted_) {
+      escaped_ = c == '\\';
+      quoted_ = c != '"';
+    } else if (c == '"') {
+      quoted_ = true;
+    } else if (c == '{' || c == '[') {
+      ++depth_;
+    } else if ((c == '}' || c == ']') && --depth_ == 0) {
+      alive = true;
+      tell(std::exchange(object_, {}));
+    }
+    if (object_.size() > kMostObject) *this = {};
+  }
+  return alive;
+}
+
+// ---- Which lists are news ----
+ListVersion::Verdict ListVersion::look(std::uint64_t index, bool whole, Instant now) {
+  if (index < held_) {
+    if (!olderSince_) olderSince_ = now;
+    if (!whole || now - *olderSince_ < kOlderFor) return Verdict::kAskWhole;
+  }
+  held_ = index;
+  olderSince_.reset();
+  return Verdict::kTake;
+}
+
+// ---- The watch ----
+class Watch::Stream final : public http1::CallSink, public std::enable_shared_from_this<Watch::Stream> {
  public:
-  explicit Stream(Watch& watch) : watch_(&watch) {}
+  explicit Stream(Watch& watch) : watch_(&watch), openedAt(watch.loop_.now()), heardAt(openedAt) {}
   void head(const http1::ResponseHead& head) override { good_ = head.status == 200; }
   void body(std::string_view bytes) override {
-    if (watch_ != nullptr && good_) watch_->bytes(bytes);
+    const std::shared_ptr<Stream> self = shared_from_this();
+    if (watch_ == nullptr || !good_) return;
+    const bool alive = cutter_.take(bytes, [this](std::string object) {
+      if (watch_ != nullptr) watch_->spoke(*this, &object);
+    });
+    if (alive && watch_ != nullptr) watch_->spoke(*this, nullptr);
   }
   void end(http1::End, const std::string&) override {
-    if (watch_ != nullptr) watch_->again();
+    const std::shared_ptr<Stream> self = shared_from_this();
+    if (watch_ != nullptr) watch_->ended(self);
+  }
+  void leave() {
+    if (watch_ != nullptr) std::exchange(watch_, nullptr)->client_.cancel(call);
   }
-  void leave() { watch_ = nullptr; }
 
  private:
   Watch* watch_;
+  ObjectCutter cutter_;
   bool good_ = false;
+
+ public:
+  http1::CallId call = 0;
+  const Instant openedAt;
+  Instant heardAt;
 };
 
-Watch::Watch(net::Loop& loop, const net::Endpoint& at, std::uint64_t from, Told told)
-    : loop_(loop), at_(at), index_(from), told_(std::move(told)), client_(loop, watchOptions()) {
+Watch::Watch(net::Loop& loop, const net::Endpoint& at, std::uint64_t from, std::uint64_t seed, Told told,
+             Note note)
+    : loop_(loop),
+      at_(at),
+      index_(from),
+      random_(seed),
+      told_(std::move(told)),
+      note_(std::move(note)),
+      client_(loop, watchOptions()) {
   open();
   look_ = loop_.after(kLook, [this] { look(); });
 }
 
 Watch::~Watch() {
-  if (stream_) stream_->leave();
+  for (const auto& stream : {older_, newer_}) {
+    if (stream) stream->leave();
+  }
   loop_.cancel(retry_);
   loop_.cancel(look_);
 }
 
-void Watch::open() {
-  retry_ = 0;
-  line_.clear();
-  heardAt_ = loop_.now();
-  stream_ = std::make_shared<Stream>(*this);
-  call_ = client_.start(at_,
-                        "GET /api/targets?watch=1&from=" + std::to_string(index_) +
-                            " HTTP/1.1\r\nHost: " + at_.text() + "\r\n\r\n",
-                        nullptr, stream_);
+void Watch::moveTo(const net::Endpoint& at) {
+  at_ = at;
+  pause_ = kRetryFirst;
+  replacing_ = true;
+  openBeside();
 }
 
-void Watch::again() {
-  if (stream_) stream_->leave();
-  stream_.reset();
-  call_ = 0;
-  if (retry_ == 0) retry_ = loop_.after(kRetry, [this] { open(); });
+void Watch::askWhole() {
+  askWhole_ = replacing_ = true;
+  openAfter(kRetryMost);
 }
 
-void Watch::look() {
-  if (call_ != 0 && loop_.now() - heardAt_ > kSilent) {
-    client_.cancel(call_);
-    again();
-  }
-  look_ = loop_.after(kLook, [this] { look(); });
+void Watch::openAfter(Duration pause) {
+  if (retry_ != 0) return;
+  const Duration wait = pause * std::uniform_real_distribution<double>(0.5, 1)(random_);
+  retry_ = loop_.after(wait, [this] {
+    retry_ = 0;
+    openBeside();
+  });
+}
+
+// Opens one, beside the one that has been open for longest, if any.
+void Watch::openBeside() {
+  loop_.cancel(std::exchange(retry_, 0));
+  if (newer_) newer_->leave();
+  newer_.reset();
+  open();
+}
+
+void Watch::open() {
+  const auto stream = std::make_shared<Stream>(*this);
+  (older_ ? newer_ : older_) = stream;
+  const std::uint64_t from = std::exchange(askWhole_, false) ? 0 : index_;
+  stream->call = client_.start(at_,
+                               "GET /api/targets?watch=1&from=" + std::to_string(from) +
+                                   " HTTP/1.1\r\nHost: " + at_.text() + "\r\n\r\n",
+                               nullptr, stream);
 }
 
-void Watch::bytes(std::string_view bytes) {
-  heardAt_ = loop_.now();
-  line_.append(bytes);
-  for (std::size_t end = line_.find('\n'); end != std::string::npos; end = line_.find('\n')) {
-    const std::string line = line_.substr(0, end);
-    line_.erase(0, end + 1);
-    if (line.find('{') != std::string::npos) told_(line);
+// Who speaks stays; the other has been silent for longer, and goes. One that is to be replaced goes on
+// speaking until the other does.
+void Watch::spoke(Stream& stream, const std::string* object) {
+  stream.heardAt = loop_.now();
+  if (note_ && std::exchange(silent_, false)) note_("discovery speaks again");
+  if (stream.heardAt - stream.openedAt > kLived) pause_ = kRetryFirst;
+  if (newer_ && newer_.get() == &stream) {
+    older_->leave();
+    older_ = std::exchange(newer_, nullptr);
+    replacing_ = false;
+  } else if (newer_ && !replacing_) {
+    std::exchange(newer_, nullptr)->leave();
   }
-  if (line_.size() > kMostLine) line_ = {};
+  if (object != nullptr) told_(*object);
+}
+
+void Watch::ended(const std::shared_ptr<Stream>& stream) {
+  if (stream != older_ && stream != newer_) return;
+  stream->leave();
+  if (stream == older_) older_ = std::exchange(newer_, nullptr);
+  newer_.reset();
+  openAfter(pause_);
+  pause_ = std::min(kRetryMost, 2 * pause_);
+}
+
+void Watch::look() {
+  look_ = loop_.after(kLook, [this] { look(); });
+  if (retry_ != 0 || !older_) return;
+  const Instant now = loop_.now();
+  const bool silent = now - older_->heardAt > kSilent;
+  if (note_ && silent && !std::exchange(silent_, true)) note_("discovery is silent: a second watch is opened");
+  if (newer_ ? now - newer_->openedAt > kRenew : silent) openBeside();
 }
 
 }  // namespace gannetcourse::platform
--- a/src/platform/discovery.h
+++ b/src/platform/discovery.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <random>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -33,31 +34,66 @@
 std::optional<ToldList> readTargets(const instance::Json& object, const instance::Names& names,
                                     const net::WallClock& clock);
 
+// Cuts a stream of JSON objects, however they are laid out over lines and pieces.
+class ObjectCutter {
+ public:
+  // Calls `tell` with each object that is whole. True where the bytes were a sign of life: the end of a line
+  // between objects, or of an object.
+  bool take(std::string_view bytes, const std::function<void(std::string object)>& tell);
+
+ private:
+  std::string object_;
+  int depth_ = 0;
+  bool quoted_ = false, escaped_ = false;
+};
+
+// Tells news from lists that are older than the one held. A discovery that counts anew is believed once it has
+// told nothing else for a while.
+class ListVersion {
+ public:
+  enum class Verdict { kTake, kAskWhole };
+  Verdict look(std::uint64_t index, bool whole, Instant now);
+  std::uint64_t held() const { return held_; }
+
+ private:
+  std::uint64_t held_ = 0;
+  std::optional<Instant> olderSince_;
+};
+
+// One watch that is believed alive only while it shows life. Where it does not, a second one is opened beside
+// it; whichever speaks stays. At most two connections.
 class Watch {
  public:
-  using Told = std::function<void(const std::string& line)>;  // one object each
-  Watch(net::Loop& loop, const net::Endpoint& at, std::uint64_t from, Told told);
+  using Told = std::function<void(const std::string& object)>;
+  using Note = std::function<void(const std::string& text)>;  // for the log; may be null
+  Watch(net::Loop& loop, const net::Endpoint& at, std::uint64_t from, std::uint64_t seed, Told told,
+        Note note = nullptr);
   ~Watch();
   Watch(const Watch&) = delete;
   Watch& operator=(const Watch&) = delete;
   void reached(std::uint64_t index) { index_ = index; }  // the version at which to go on
+  void moveTo(const net::Endpoint& at);  // the open one stays until the new address speaks
+  void askWhole();                       // what came cannot be used: soon anew, from the start
 
  private:
   class Stream;
   void open();
-  void again();
+  void openBeside();
   void look();
-  void bytes(std::string_view bytes);
+  void spoke(Stream& stream, const std::string* object);
+  void ended(const std::shared_ptr<Stream>& stream);
+  void openAfter(Duration pause);
 
   net::Loop& loop_;
   net::Endpoint at_;
   std::uint64_t index_ = 0;
+  std::mt19937_64 random_;
   Told told_;
+  Note note_;
   http1::Client client_;
-  http1::CallId call_ = 0;
-  std::shared_ptr<Stream> stream_;
-  std::string line_;
-  Instant heardAt_{};
+  std::shared_ptr<Stream> older_, newer_;
+  bool askWhole_ = false, replacing_ = false, silent_ = false;
+  Duration pause_{0.1};
   net::TimerId retry_ = 0, look_ = 0;
 };
 
--- a/src/platform/engines.cpp
+++ b/src/platform/engines.cpp
@@ -83,7 +83,8 @@
     if (streams_) {
       const bool whole = events_.finish();
       return finish(whole ? Outcome::kOk : Outcome::kError,
-                    whole ? "" : "its stream ended before its last event");
+                    whole ? "tokens " + std::to_string(static_cast<std::uint64_t>(events_.writtenTokens()))
+                          : "its stream ended before its last event");
     }
     finish(outcomeOf(status_, notRun_, reads_), statusText());
   }
--- a/src/platform/engines.h
+++ b/src/platform/engines.h
@@ -43,6 +43,7 @@
   // ---- For the node's account of itself ----
   std::size_t open() const { return calls_.size(); }
   std::size_t connections() const { return client_.connections(); }
+  std::size_t idleConnections() const { return client_.idle(); }
   std::uint64_t opened() const { return client_.opened(); }
   std::map<ServerId, std::size_t> openByEngine() const;
 
--- a/src/platform/events.cpp
+++ b/src/platform/events.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <charconv>
 #include <cmath>
+#include <initializer_list>
 #include <utility>
 
 #include "instance/instance.h"
@@ -21,16 +22,14 @@
 
 std::size_t pairEnd(std::string_view text) { return std::min(text.size(), text.find(',')); }
 
-// Tokens of the prompt that were found kept, where this event tells.
-std::optional<double> keptIn(std::string_view data) {
-  if (data.find("\"usage\"") == std::string_view::npos) return std::nullopt;
-  const instance::Json event = instance::Json::parse(data, nullptr, false);
+// The number at a path of names, 0 where there is none.
+double numberAt(const instance::Json& event, std::initializer_list<const char*> path) {
   const instance::Json* at = &event;
-  for (const char* const key : {"usage", "prompt_tokens_details", "cached_tokens"}) {
-    if (!at->is_object() || !at->contains(key)) return std::nullopt;
+  for (const char* const key : path) {
+    if (!at->is_object() || !at->contains(key)) return 0;
     at = &(*at)[key];
   }
-  return at->is_number() ? std::optional<double>(at->get<double>()) : std::nullopt;
+  return at->is_number() ? at->get<double>() : 0;
 }
 
 }  // namespace
@@ -92,12 +91,18 @@
     data = true;
     const std::string_view value = trimmed(line.substr(kData.size()));
     if (value == kEnd) ended_ = true;
-    if (const auto kept = keptIn(value)) kept_ = *kept;
+    if (value.find("\"usage\"") != std::string_view::npos) takeUsage(value);
   }
   if (data) tell(std::move(told));
   return true;
 }
 
+void EventStream::takeUsage(std::string_view data) {
+  const instance::Json event = instance::Json::parse(data, nullptr, false);
+  kept_ = std::max(kept_, numberAt(event, {"usage", "prompt_tokens_details", "cached_tokens"}));
+  written_ = std::max(written_, numberAt(event, {"usage", "completion_tokens"}));
+}
+
 void EventStream::takeComment(std::string_view comment) {
   if (comment.substr(0, kReport.size()) == kReport) load_ = readLoadReport(comment.substr(kReport.size()));
 }
--- a/src/platform/events.h
+++ b/src/platform/events.h
@@ -19,15 +19,17 @@
   bool finish();
   bool midway() const { return !rest_.empty(); }
   double keptTokens() const { return kept_; }
+  double writtenTokens() const { return written_; }  // of the answer, as its engine counts them; 0 = not told
   const std::optional<LoadReport>& load() const { return load_; }
 
  private:
   bool takeEvent(std::string_view event, const std::function<void(std::string event)>& tell);
+  void takeUsage(std::string_view data);
   void takeComment(std::string_view comment);
 
   std::string rest_;    // of an event that is not whole
   bool ended_ = false;  // the last event has come
-  double kept_ = 0;
+  double kept_ = 0, written_ = 0;
   std::optional<LoadReport> load_;
 };
 
--- a/src/platform/front.h
+++ b/src/platform/front.h
@@ -29,6 +29,7 @@
   void ready(bool ready) { ready_ = ready; }
   void take(const Configuration& configuration);
   void drain();  // not ready, refuses what is new
+  void end() { server_.end(); }
   std::uint16_t port() const { return server_.port(); }
   const http1::Server& server() const { return server_; }
   std::uint64_t turnedAway() const { return turnedAway_; }
--- a/src/platform/node.cpp
+++ b/src/platform/node.cpp
@@ -49,8 +49,10 @@
       front_(loop, configuration_, driver_) {
   driver_.use(engines_);
   takeList(configuration_.known.is_object() ? configuration_.known : Json::object(), true);
-  watch(index_);
-  front_.ready(true);
+  watch_ = std::make_unique<Watch>(
+      loop_, configuration_.discovery, version_.held(), configuration_.policy.seed,
+      [this](const std::string& object) { takeObject(object); },
+      [this](const std::string& text) { log_("discovery", "info", text); });
   report();
 }
 
@@ -66,26 +68,23 @@
   return hooks;
 }
 
-void Node::watch(std::uint64_t from) {
-  watch_ = std::make_unique<Watch>(loop_, configuration_.discovery, from,
-                                   [this](const std::string& line) { takeLine(line); });
-}
-
-void Node::takeLine(const std::string& line) {
-  const Json object = Json::parse(line, nullptr, false);
-  if (object.is_discarded()) return log_("discovery", "warn", "a line of the watch is no JSON");
+void Node::takeObject(const std::string& text) {
+  const Json object = Json::parse(text, nullptr, false);
+  if (object.is_discarded()) return log_("discovery", "warn", "an object of the watch is no JSON");
   takeList(object, false);
 }
 
 void Node::takeList(const Json& object, bool saved) {
   const auto list = readTargets(object, configuration_.names, clock_);
   if (!list) return log_("discovery", "warn", "an object of the watch cannot be read");
-  index_ = list->index;
-  if (watch_) watch_->reached(index_);
+  if (version_.look(list->index, list->full || saved, loop_.now()) == ListVersion::Verdict::kAskWhole)
+    return watch_->askWhole();
+  if (watch_) watch_->reached(list->index);
   engines_.update(*list);
   ServerList told = list->forPolicy();
   if (saved) told.scope = ServerList::Scope::kSaved;
   driver_.step([&](router::Core& core, Instant now) { core.serverList(now, told); });
+  if (!saved || !list->engines.empty()) front_.ready(true);
 }
 
 void Node::reload(Configuration fresh) {
@@ -103,7 +102,7 @@
   configuration_ = std::move(fresh);
   engines_.take(clientOptions(configuration_));
   front_.take(configuration_);
-  if (moved) watch(index_);
+  if (moved) watch_->moveTo(configuration_.discovery);
 }
 
 void Node::drain(std::function<void()> done) {
@@ -117,7 +116,8 @@
 void Node::checkDrained() {
   if (!drained_ || loop_.now() - drainAt_ < kLinger) return;
   if (core().owed() > 0 || engines_.smallCalls() > 0 || front_.server().busy() > 0) return;
-  loop_.defer(std::exchange(drained_, nullptr));
+  if (!std::exchange(listening_, false)) return loop_.defer(std::exchange(drained_, nullptr));
+  front_.end();
 }
 
 std::string Node::account() const {
--- a/src/platform/node.h
+++ b/src/platform/node.h
@@ -29,21 +29,22 @@
   // Throws std::invalid_argument where a class, tenant or zone lost its place; then everything stays as it
   // was.
   void reload(Configuration configuration);
-  // Nothing new; `done` is told once connections have stopped coming and every taken request has its answer.
+  // Nothing new; `done` is told once connections have stopped coming, every taken request has its answer and
+  // every connection that a client may still ask on has been ended.
   void drain(std::function<void()> done);
 
   std::uint16_t port() const { return front_.port(); }
   const router::Core& core() const { return driver_.core(); }
   const Engines& engines() const { return engines_; }
   const Front& front() const { return front_; }
+  std::uint64_t listIndex() const { return version_.held(); }  // of the newest list of engines
   // One line of what is open on the sockets and what the core has of it, for the log.
   std::string account() const;
 
  private:
-  void takeLine(const std::string& line);
+  void takeObject(const std::string& text);
   void takeList(const instance::Json& object, bool saved);
   node::Driver::Hooks driverHooks(const std::function<void(const router::Record&)>& record);
-  void watch(std::uint64_t from);
   void checkDrained();
   void report();
 
@@ -54,8 +55,9 @@
   node::Driver driver_;
   Engines engines_;
   Front front_;
+  ListVersion version_;
   std::unique_ptr<Watch> watch_;
-  std::uint64_t index_ = 0;
+  bool listening_ = true;
   std::function<void()> drained_;
   Instant drainAt_{};
   net::TimerId reportTimer_ = 0;
--- a/src/router/core.cpp
+++ b/src/router/core.cpp
@@ -1,4 +1,6 @@
 #include <algorithm>
+#include <array>
+#include <cstdio>
 #include <deque>
 #include <stdexcept>
 #include <unordered_map>
@@ -101,7 +103,7 @@
     if (!a.id.empty()) r.id = a.id;
     r.asked = std::move(a);
     names_.emplace(r.policyId, r.key);
-    record(r, "taken", {}, -1, r.work->requestClass);
+    if (options_.records) record(r, "taken", {}, -1, askedFor(r));
     if (draining_) return answer(r, Verdict::kRefused, Duration(0), "node is draining");
     r.timer =
         timers_.emplace(r.end - options_.answerMargin * kBackstopShare, Timer{Due::kRequest, r.key, {}});
@@ -133,6 +135,7 @@
     r.stateAt = call.engine;
     r.state = std::move(state);
     r.stateAttempt = call.attempt;
+    if (options_.records) record(r, "prefilled", call.engine, call.attempt, "kept " + textOf(kept, 0));
     callEnded(key, Outcome::kPrefilled, kept, load, {}, recovery::Ending::kTold);
   }
 
@@ -183,6 +186,7 @@
                        now_ - call.sentAt,
                        load};
     if (!r.answered && outcome == Outcome::kOk) {
+      record(r, "stream_whole", call.engine, call.attempt, why);
       answer(r, Verdict::kServed, Duration(0), {});
     } else if (!r.answered && r.started) {
       return streamLost(r, ended, why, ending);
@@ -321,7 +325,7 @@
       out_.emplace_back(StartWrite{key, r->key, r->id, number, a.server, r->stateAt,
                                    r->stateAt ? r->state : "", left, timeout, r->work});
     }
-    record(*r, reads ? "read" : "write", a.server, number);
+    if (options_.records) record(*r, reads ? "read" : "write", a.server, number, expectationOf(a, reads));
   }
 
   void act(Reserve& a) {
@@ -545,7 +549,8 @@
     if (r.answered) return;
     if (!r.started && !r.waits) ++counts_.guarded;
     if (r.started) return endStream(r);
-    giveUp(r, Verdict::kDeadline, Outcome::kTimeout, "time is up");
+    // What was never sent on is refused, not failed: trying again is harmless.
+    giveUp(r, r.attempts == 0 ? Verdict::kRefused : Verdict::kDeadline, Outcome::kTimeout, "time is up");
   }
 
   // Answers it, whatever the policy meant to do with it.
@@ -633,6 +638,25 @@
     if (options_.records) out_.emplace_back(Record{now_, r.id, action, engine, attempt, std::move(why)});
   }
 
+  static std::string textOf(double value, int digits) {
+    std::array<char, 32> text{};
+    return {text.data(), static_cast<std::size_t>(
+                             std::snprintf(text.data(), text.size(), "%.*f", digits, std::min(value, 1e9)))};
+  }
+
+  // "CLASS prompt TOKENS aim SECONDS token SECONDS worth WORTH"
+  std::string askedFor(const Request& r) const {
+    const ClassSettings& c = settings_.classes.at(r.asked.classIndex);
+    const double aim = c.aim.count() + c.aimPerToken.count() * r.work->promptTokens;
+    return r.work->requestClass + " prompt " + std::to_string(r.work->promptTokens) + " prefix " +
+           std::to_string(r.work->prefixTokens) + " aim " + textOf(aim, 3) + " token " +
+           textOf(c.tokenAim.count(), 3) + " worth " + textOf(c.worth, 2);
+  }
+
+  static std::string expectationOf(const Send& a, bool reads) {
+    return "expects " + textOf(a.expected.count(), 3) + (reads ? " kept " + textOf(a.expectedKept, 0) : "");
+  }
+
   // What was taken is finished under its class, so no place may come to mean another.
   void checkPlaces(const Settings& fresh) const {
     bool kept =
--- /dev/null
+++ b/tests/discovery_test.cpp
@@ -0,0 +1,250 @@
+// What a watch is told: objects out of bytes, news against old lists, and a watch that must show life.
+#include <random>
+
+#include "platform_fixture.h"
+
+namespace gannetcourse::platform {
+namespace {
+
+using namespace test;
+
+std::vector<std::string> cut(const std::string& bytes, std::size_t step) {
+  ObjectCutter cutter;
+  std::vector<std::string> objects;
+  for (std::size_t i = 0; i < bytes.size(); i += step)
+    cutter.take(std::string_view(bytes).substr(i, step),
+                [&](std::string o) { objects.push_back(std::move(o)); });
+  return objects;
+}
+
+TEST(ObjectCutter, FindsObjectsHoweverTheyAreLaidOut) {
+  const Json list =
+      listOf(41, true, {target("a{\"]}\\", "prefill", "10.0.0.1:1"), target("b", "decode", "1.2.3.4:5")});
+  const std::string bytes =
+      list.dump() + "\n\n" + list.dump(2) + "\n" + list.dump(-1) + list.dump(1) + "\r\n\r\n";
+  for (const std::size_t step : {std::size_t{1}, std::size_t{7}, bytes.size()}) {
+    const auto objects = cut(bytes, step);
+    ASSERT_EQ(objects.size(), 4U);
+    for (const auto& text : objects) EXPECT_EQ(Json::parse(text), list);
+  }
+}
+
+TEST(ObjectCutter, AnEmptyLineIsLifeAndHalfAnObjectIsNot) {
+  ObjectCutter cutter;
+  const auto none = [](const std::string&) { FAIL(); };
+  EXPECT_TRUE(cutter.take("\n", none));
+  EXPECT_FALSE(cutter.take("  ", none));
+  EXPECT_FALSE(cutter.take("{\"index\": 3,\n \"endpoints\": [\n", none));
+  EXPECT_FALSE(cutter.take("\n\n", none));
+  int told = 0;
+  EXPECT_TRUE(cutter.take("]}", [&](const std::string&) { ++told; }));
+  EXPECT_EQ(told, 1);
+}
+
+TEST(ObjectCutter, SurvivesRandomBytes) {
+  std::mt19937 random(3);
+  ObjectCutter cutter;
+  for (int i = 0; i < 2000; ++i) {
+    std::string bytes;
+    for (std::size_t n = random() % 40; n > 0; --n) bytes.push_back("{}[]\"\\\n a"[random() % 9]);
+    cutter.take(bytes, [](const std::string& object) { EXPECT_EQ(object.front(), '{'); });
+  }
+}
+
+TEST(ListVersion, OlderListsAreNoNewsUntilNothingElseComes) {
+  using V = ListVersion::Verdict;
+  ListVersion version;
+  const auto at = [](double s) { return Instant(Duration(s)); };
+  EXPECT_EQ(version.look(41, true, at(0)), V::kTake);
+  EXPECT_EQ(version.look(43, false, at(1)), V::kTake);
+  EXPECT_EQ(version.look(43, false, at(1)), V::kTake);     // told once more: the same
+  EXPECT_EQ(version.look(40, true, at(2)), V::kAskWhole);  // a replica that lags
+  EXPECT_EQ(version.look(44, false, at(2.1)), V::kTake);
+  EXPECT_EQ(version.look(2, false, at(10)), V::kAskWhole);
+  EXPECT_EQ(version.look(2, true, at(10.5)), V::kAskWhole);
+  EXPECT_EQ(version.look(2, true, at(12.5)), V::kTake);  // it counts anew
+  EXPECT_EQ(version.held(), 2U);
+  EXPECT_EQ(version.look(3, false, at(13)), V::kTake);
+}
+
+// How long a node may take to know a change after a watch broke: the page's 6 s, of the machine's clock.
+constexpr double kTold = 6;
+
+class WatchTest : public PlatformTest {
+ protected:
+  static bool isWatch(const http1::Request& r) { return r.target.find("watch=1") != std::string::npos; }
+  std::size_t watches() const {
+    std::size_t n = 0;
+    for (const auto& r : discovery.seen) n += isWatch(r);
+    return n;
+  }
+  std::string drained(std::uint64_t index) const {
+    return listOf(index, false, {target("w1", "decode", writer.address(), "draining")}).dump() + "\n";
+  }
+  // Requests go nowhere once the only writer drains.
+  bool knowsDrain() {
+    const std::size_t before = writer.seen.size();
+    EXPECT_EQ(statusOf(asks(ask("probe" + std::to_string(++probes_), "", "chat", "300"))) / 100, 5);
+    return writer.seen.size() == before;
+  }
+  // Plays `first` to the first watch and the change to those after it.
+  void changeReachesThroughASecondWatch(const std::function<void(Peer&)>& first) {
+    int n = 0;
+    discovery.script = [&, n](Peer& peer, const http1::Request&) mutable {
+      if (++n == 1) return first(peer);
+      peer.send(kStreamHead + chunkOf(drained(9)));
+    };
+    start();
+    const Instant began = net::monotonicNow();
+    ASSERT_TRUE(until([&] { return watches() >= 2; }));
+    EXPECT_LT((net::monotonicNow() - began).count(), kTold);
+    ASSERT_TRUE(until([&] { return node->listIndex() == 9; }));
+    EXPECT_TRUE(knowsDrain());
+  }
+
+ private:
+  int probes_ = 0;
+};
+
+TEST_F(WatchTest, ASilentOneIsOpenedAnew) {
+  changeReachesThroughASecondWatch([](Peer& p) { p.send(kStreamHead + chunkOf("\n")); });
+}
+TEST_F(WatchTest, OneThatNeverAnswersIsOpenedAnew) {
+  changeReachesThroughASecondWatch([](Peer&) {});
+}
+TEST_F(WatchTest, OneThatIsResetIsOpenedAnew) {
+  changeReachesThroughASecondWatch([](Peer& p) {
+    p.send(kStreamHead + chunkOf("\n"));
+    p.connection.abort();
+  });
+}
+TEST_F(WatchTest, OneThatEndsInHalfALineIsOpenedAnew) {
+  changeReachesThroughASecondWatch([this](Peer& p) {
+    p.send(kStreamHead + chunkOf(drained(9).substr(0, 40)));
+    p.connection.close();
+  });
+}
+TEST_F(WatchTest, HalfALineIsNoLife) {
+  changeReachesThroughASecondWatch(
+      [this](Peer& p) { p.send(kStreamHead + chunkOf(drained(9).substr(0, 40))); });
+}
+TEST_F(WatchTest, ARefusalWhoseBodyNeverEndsIsNoLife) {
+  changeReachesThroughASecondWatch([this](Peer& p) {
+    p.send("HTTP/1.1 503 Busy\r\nTransfer-Encoding: chunked\r\n\r\n" + chunkOf("\n"));
+    loop.after(Duration(0.5), [this] {
+      if (!discovery.peers.front()->closed) discovery.peers.front()->send(chunkOf("\n"));
+    });
+  });
+}
+TEST_F(WatchTest, OneThatSpeaksNonsenseForEverIsNoLife) {
+  changeReachesThroughASecondWatch([](Peer& p) { p.send(kStreamHead + chunkOf("nonsense nonsense")); });
+}
+
+TEST_F(WatchTest, AnIndentedListIsRead) {
+  discovery.script = [&](Peer& peer, const http1::Request&) {
+    const std::string text = listOf(9, true,
+                                    {target("r1", "prefill", reader.address()),
+                                     target("w1", "decode", writer.address(), "draining")})
+                                 .dump(2) +
+                             "\n";
+    peer.send(kStreamHead + chunkOf(text.substr(0, 100)) + chunkOf(text.substr(100)));
+  };
+  start();
+  ASSERT_TRUE(until([&] { return node->listIndex() == 9; }));
+  EXPECT_TRUE(knowsDrain());
+}
+
+TEST_F(WatchTest, AnEngineMissingFromAWholeListIsRemoved) {
+  discovery.script = [&](Peer& peer, const http1::Request&) {
+    peer.send(kStreamHead +
+              chunkOf(listOf(9, true, {target("r1", "prefill", reader.address())}).dump() + "\n"));
+  };
+  start();
+  ASSERT_TRUE(until([&] { return node->listIndex() == 9; }));
+  EXPECT_TRUE(knowsDrain());
+}
+
+TEST_F(WatchTest, AListOlderThanTheOneHeldBringsNoEngineBack) {
+  discovery.script = [&, n = 0](Peer& peer, const http1::Request&) mutable {
+    if (++n == 1) return peer.send(kStreamHead + chunkOf(drained(9)) + "0\r\n\r\n");
+    if (n == 2)
+      return peer.send(kStreamHead + chunkOf(listOf(8, true,
+                                                    {target("r1", "prefill", reader.address()),
+                                                     target("w1", "decode", writer.address())})
+                                                 .dump() +
+                                             "\n"));
+    peer.send(kStreamHead + chunkOf("\n"));
+  };
+  start();
+  ASSERT_TRUE(until([&] { return discovery.count("GET", "/api/targets?watch=1&from=0") > 0; }));
+  EXPECT_EQ(node->listIndex(), 9U);
+  EXPECT_TRUE(knowsDrain());
+}
+
+TEST_F(WatchTest, DiscoveryThatWasGoneIsHeardSoonAfterItsReturn) {
+  discovery.script = [&](Peer& peer, const http1::Request&) { peer.connection.abort(); };
+  start();
+  ASSERT_TRUE(until([&] { return watches() >= 4; }));  // refused again and again
+  discovery.script = [&](Peer& peer, const http1::Request&) { peer.send(kStreamHead + chunkOf(drained(9))); };
+  const Instant back = net::monotonicNow();
+  ASSERT_TRUE(until([&] { return node->listIndex() == 9; }));
+  EXPECT_LT((net::monotonicNow() - back).count(), kTold);
+  EXPECT_TRUE(knowsDrain());
+}
+
+TEST_F(WatchTest, WhileDiscoveryIsSilentOneOpenWatchIsKeptAndOneIsRenewed) {
+  discovery.script = [](Peer&, const http1::Request&) {};
+  start();
+  ASSERT_TRUE(until([&] { return watches() >= 3; }));
+  EXPECT_FALSE(discovery.peers.front()->closed);
+  std::size_t open = 0;
+  for (const auto& peer : discovery.peers) open += !peer->closed;
+  EXPECT_LE(open, 2U);
+  discovery.peers.front()->send(kStreamHead + chunkOf(drained(9)));  // the first one speaks after all
+  ASSERT_TRUE(until([&] { return node->listIndex() == 9; }));
+  EXPECT_TRUE(knowsDrain());
+}
+
+TEST_F(WatchTest, ANewAddressIsHeardThoughTheOldOneStillSpeaks) {
+  discovery.script = [](Peer& peer, const http1::Request&) { peer.send(kStreamHead + chunkOf("\n")); };
+  std::shared_ptr<Peer> late;
+  Scripted other(loop, [&](Peer&, const http1::Request&) {});
+  start();
+  ASSERT_TRUE(until([&] { return watches() == 1; }));
+  Json fresh = file();
+  fresh["discovery"] = other.address();
+  node->reload(configurationOf(fresh));
+  ASSERT_TRUE(until([&] { return other.seen.size() == 1; }));
+  discovery.peers.front()->send(chunkOf("\n"));
+  settle(0.1);
+  ASSERT_FALSE(other.peers.front()->closed);
+  other.peers.front()->send(kStreamHead + chunkOf(drained(9)));
+  ASSERT_TRUE(until([&] { return node->listIndex() == 9 && discovery.peers.front()->closed; }));
+  EXPECT_TRUE(knowsDrain());
+}
+
+TEST_F(WatchTest, ADiscoveryThatEndsEachAnswerIsAskedWithPauses) {
+  discovery.script = [&](Peer& peer, const http1::Request&) {
+    peer.send(kStreamHead + chunkOf("\n") + "0\r\n\r\n");
+  };
+  start();
+  const Instant began = net::monotonicNow();
+  ASSERT_TRUE(until([&] { return watches() >= 8; }));
+  EXPECT_GE((net::monotonicNow() - began).count(), 1.5);  // the least that seven pauses last
+}
+
+TEST_F(WatchTest, ANodeThatKnowsNoEngineIsReadyOnceItHasAList) {
+  std::shared_ptr<Peer> asked;
+  start([](Json& json) { json.erase("known"); });
+  EXPECT_EQ(statusOf(asks("GET /-/ready HTTP/1.1\r\n\r\n")), 503);
+  ASSERT_TRUE(until([&] { return watches() == 1; }));
+  discovery.peers.front()->send(chunkOf(
+      listOf(9, true, {target("r1", "prefill", reader.address()), target("w1", "decode", writer.address())})
+          .dump() +
+      "\n"));
+  ASSERT_TRUE(until([&] { return node->listIndex() == 9; }));
+  EXPECT_EQ(statusOf(asks("GET /-/ready HTTP/1.1\r\n\r\n")), 200);
+}
+
+}  // namespace
+}  // namespace gannetcourse::platform
--- /dev/null
+++ b/tests/platform_fixture.h
@@ -0,0 +1,155 @@
+// A whole node on the platform's protocol, with scripted clients, engines and a discovery on loopback.
+#pragma once
+
+#include <gtest/gtest.h>
+#include <unistd.h>
+
+#include <filesystem>
+#include <fstream>
+#include <functional>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "platform/node.h"
+#include "platform_peers.h"
+
+namespace gannetcourse::test {
+
+using instance::Json;
+using platform::Configuration;
+
+constexpr double kBound = 20;  // seconds; only a broken program needs them
+
+inline const char* const kSettings = R"({"balancers":1,
+  "classes":[{"aimS":1.5,"deadlineS":6.0,"idempotency":"idempotent","name":"chat","worth":3.0,"lateWorth":0.1},
+             {"aimS":3.0,"deadlineS":12.0,"idempotency":"at_most_once","name":"pay","worth":1.0}],
+  "familyInfo":{"aimUsPer1000PromptTokens":[40000.0,50000.0],"kindMemoryTokens":[165671,190862],
+                "kindRole":["read","write"],"mayReserve":true,"pinLimitS":1.0,"selfPrefill":false,"tokenAimS":[0.06,0.08]},
+  "kinds":["prefill","decode"],
+  "limits":{"connIdleS":15.0,"connectTimeoutS":0.25,"maxAttempts":6,"maxRetryAfterS":1.0,"mayCancel":true,
+            "probes":false,"retryAfter":true},
+  "reporting":{"fields":["mean_ms","x0","x1"],"via":"piggyback"},
+  "rules":{"answerSlackS":0.016,"fallS":3.0,"overloadFactor":2.5,"startCapacity":0.29,"warmAfterS":13.0},
+  "tenants":[],"tickS":0.004,"worthBy":"work","zone":"north","zones":["north","south"]})";
+
+inline Json target(const std::string& name, const std::string& type, const std::string& address,
+                   const std::string& status = "up") {
+  return {{"name", name},     {"address", address}, {"zone", "north"}, {"type", type}, {"group", 0},
+          {"status", status}, {"weight", 1.0},      {"since_ms", 0},   {"unknown", 1}};
+}
+
+inline Json listOf(std::uint64_t index, bool full, std::vector<Json> entries) {
+  return {{"index", index}, {"snapshot", full}, {"endpoints", std::move(entries)}};
+}
+
+class PlatformTest : public ::testing::Test {
+ protected:
+  PlatformTest()
+      : reader(loop, [](Peer& p, const http1::Request& r) { answerRead(p, r); }),
+        writer(loop, [](Peer& p, const http1::Request& r) { answerWrite(p, r); }),
+        discovery(loop, [](Peer& p, const http1::Request&) { p.send(kStreamHead); }) {}
+  ~PlatformTest() override {
+    node.reset();
+    loop.step(Duration(0));
+  }
+
+  static bool released(Peer& peer, const http1::Request& request) {
+    if (request.method != "DELETE") return false;
+    peer.send("HTTP/1.1 204 No Content\r\n\r\n");
+    return true;
+  }
+  static void answerRead(Peer& peer, const http1::Request& request) {
+    if (!released(peer, request))
+      peer.send(
+          "HTTP/1.1 202 Accepted\r\nX-Load-Report: TEXT mean_ms=3, x0=0.25, x1=2\r\nContent-Length: "
+          "20\r\n\r\n"
+          "{\"cached_tokens\":40}");
+  }
+  static std::string wholeStream() {
+    return kStreamHead + chunkOf(eventOf("a")) + chunkOf(eventOf("b") + kDone) +
+           chunkOf(": X-Load-Report: TEXT mean_ms=1, x0=0.5, x1=0\n") + "0\r\n\r\n";
+  }
+  static void answerWrite(Peer& peer, const http1::Request& request) {
+    if (!released(peer, request)) peer.send(wholeStream());
+  }
+
+  Json file() const {
+    return {{"name", "n0"},
+            {"listen", "127.0.0.1:0"},
+            {"discovery", discovery.address()},
+            {"seed", "92094eb940cf389a"},
+            {"limits", {{"cores", 1.0}, {"memory_mb", 64}, {"sockets", sockets}}},
+            {"known",
+             listOf(7, true,
+                    {target("r1", "prefill", reader.address()), target("w1", "decode", writer.address())})},
+            {"settings", Json::parse(kSettings)}};
+  }
+  static Configuration configurationOf(const Json& json) {
+    const auto path = std::filesystem::temp_directory_path() /
+                      ("gannetcourse-platform-" + std::to_string(getpid()) + ".json");
+    std::ofstream(path) << json.dump();
+    Configuration c;
+    try {
+      c = platform::loadConfiguration(path);
+    } catch (...) {
+      std::filesystem::remove(path);
+      throw;
+    }
+    std::filesystem::remove(path);
+    return c;
+  }
+  void start(const std::function<void(Json&)>& change = nullptr) {
+    Json json = file();
+    if (change) change(json);
+    node = std::make_unique<platform::Node>(
+        loop, configurationOf(json),
+        [this](const std::string&, const std::string& level, const std::string& text) {
+          if (level != "info") log.push_back(text);
+        });
+  }
+  bool until(const std::function<bool()>& done) {
+    const Instant end = net::monotonicNow() + Duration(kBound);
+    while (!done()) {
+      if (net::monotonicNow() > end) return false;
+      loop.step(Duration(0.01));
+    }
+    return true;
+  }
+  void settle(double seconds) {
+    const Instant end = net::monotonicNow() + Duration(seconds);
+    while (net::monotonicNow() < end) loop.step(Duration(0.01));
+  }
+  std::shared_ptr<Peer> client() {
+    auto peer = std::make_shared<Peer>(loop);
+    peer->connection.connect({"127.0.0.1", node->port()}, Duration(kBound));
+    return peer;
+  }
+  static std::string ask(const std::string& id, const std::string& more = "",
+                         const std::string& className = "chat", const std::string& budget = "4800",
+                         const std::string& body = "{\"messages\":[]}") {
+    return "POST /v1/chat/completions?x=1 HTTP/1.1\r\nHost: b\r\nX-Call-Id: " + id +
+           "\r\nX-Call-Class: " + className + "\r\nX-Route-Hash: 7f3a9c21e0b4d655\r\nX-Budget-Ms: " + budget +
+           "\r\nX-Call-Info: prefix=5c0f6e1a2b3d4c59,prompt_len=512,prefix_len=48,max_out=80\r\n" + more +
+           "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+  }
+  std::shared_ptr<Peer> asks(const std::string& request) {
+    auto peer = client();
+    peer->send(request);
+    return peer;
+  }
+  // The status of the one answer.
+  int statusOf(const std::shared_ptr<Peer>& peer) {
+    if (!until([&] { return peer->has("\r\n\r\n") || peer->closed; }) || !peer->has("HTTP/1.1 ")) return 0;
+    return std::stoi(peer->got.substr(9, 3));
+  }
+
+  std::size_t sockets = 256;
+  net::Loop loop;
+  Scripted reader, writer, discovery;
+  std::unique_ptr<platform::Node> node;
+  std::vector<std::string> log;
+};
+
+}  // namespace gannetcourse::test
