--- a/src/policy/policy.cpp
+++ b/src/policy/policy.cpp
@@ -525,11 +525,12 @@
   // A cold server gets no more than this node's part of what it can do, in any window; where that is less
   // than one request, one in a longer time, and the first after a part of that time by lot: nodes that hear
   // of it together must not all greet it. The most that the role's servers served for us on average stands
-  // for a warm one. Servers back from lost contact count as cold: they may be new.
+  // for a warm one. Servers back from lost contact count as cold: they may be new. The budget holds for one
+  // window longer: all nodes turn to an idle server in the moment in which it is warm.
   bool withinColdBudget(const Server& s, const Request& r) const {
     const double age = std::max(0.0, now_ - s.coldSince), warm = sec(set_.coldWarmAfter);
-    if (age >= warm) return true;
-    const double able = set_.coldStartCapacity + (1 - set_.coldStartCapacity) / 2 * age / warm;
+    if (age >= warm + sec(set_.coldWindow)) return true;
+    const double able = set_.coldStartCapacity + (1 - set_.coldStartCapacity) / 2 * std::min(1.0, age / warm);
     const double part = kColdSafety * set_.coldOverloadFactor * able * pool(s).most * sec(set_.coldWindow);
     const double budget = std::max(part, std::min(1.0, kColdUnknown / set_.nodes)), weight = sendWeight(r);
     const double span = sec(set_.coldWindow) * std::max(1.0, weight / budget);
@@ -767,7 +768,9 @@
     while (s.coldSends.front().first < now_ - sec(set_.coldWarmAfter)) s.coldSends.pop_front();
     // Where attempts can be called off, silence ends them; the time-out only leaves room for another try.
     const double most = (r.deadline - now_) * (mayTryOn(r) ? kTryShare : 1);
-    act(Send{r.ask.id, s.entry.id, Duration(set_.cancelAllowed ? most : std::min(most, patience(r)))});
+    const double timeout = set_.cancelAllowed ? most : std::min(most, patience(r));
+    const double kept = r.stage == Stage::kReading ? r.ask.promptTokens + kReadFloorTokens - r.readTokens : 0;
+    act(Send{r.ask.id, s.entry.id, Duration(timeout), Duration(expected), kept});
   }
 
   // Takes the attempt out of our own record.
