--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -9,7 +9,7 @@
 cmake --preset ci
 cmake --build --preset ci
 bash scripts/lint.sh build-ci
-ctest --preset ci
+bash scripts/run_tests.sh KNOWN-RED.txt ctest --preset ci
 # Threads: nodes on threads of one process, and the daemon with its log's thread.
 cmake --preset tsan
 cmake --build --preset tsan
