--- a/tests/discovery_test.cpp
+++ b/tests/discovery_test.cpp
@@ -233,6 +233,13 @@
   EXPECT_GE((net::monotonicNow() - began).count(), 1.5);  // the least that seven pauses last
 }
 
+TEST_F(WatchTest, ANodeThatKnowsEnginesIsReadyAndServesThoughDiscoveryIsAway) {
+  discovery.listener.refuse(true);
+  start();
+  EXPECT_EQ(statusOf(asks("GET /-/ready HTTP/1.1\r\n\r\n")), 200);
+  EXPECT_EQ(statusOf(asks(ask("by-the-known-list"))), 200);
+}
+
 TEST_F(WatchTest, ANodeThatKnowsNoEngineIsReadyOnceItHasAList) {
   std::shared_ptr<Peer> asked;
   start([](Json& json) { json.erase("known"); });
--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -9,6 +9,7 @@
 #include <ostream>
 #include <queue>
 #include <random>
+#include <set>
 
 #include "harness.h"
 
@@ -103,6 +104,20 @@
     }
     return worst;
   }
+  // From now on this many engines of a role say nothing to what they are sent; 0 = all speak again.
+  void silence(Role role, int count) {
+    silent_.clear();
+    for (const ServerEntry& e : entries_) {
+      if (e.role == role && count-- > 0) silent_.insert(e.id);
+    }
+  }
+  std::size_t served() const { return served_; }
+  std::size_t refused() const { return refused_; }
+  double slowestAnswer() const { return slowestAnswer_; }  // first token, refusal or failure
+  std::size_t openFor(double seconds) const {
+    return static_cast<std::size_t>(std::count_if(asked_.begin(), asked_.end(),
+                                                  [&](const auto& a) { return now_ - a.second > seconds; }));
+  }
   std::size_t sentToCold() const {
     std::size_t sum = 0;
     for (int i = 0; i < 2 * plan_.cold; ++i) {
@@ -150,6 +165,7 @@
       ask.prefixTokens = 400;
       ask.promptTokens = 1000;
       ask.maxOutputTokens = 100;
+      asked_[ask.id.value] = now_;
       feed(n, ask);
       nextArrival(n);
     });
@@ -160,37 +176,72 @@
     std::vector<Action> actions;
     node.policy->handle(Instant(Duration(now_)), event, actions);
     for (const Action& action : actions) {
-      if (const auto* const send = std::get_if<Send>(&action)) carryOut(n, node.life, *send);
+      if (const auto* const send = std::get_if<Send>(&action)) carryOut(n, *send);
+      if (const auto* const cancel = std::get_if<Cancel>(&action))
+        end(n, cancel->id, cancel->attempt, Outcome::kCancelled);
+      if (const auto* const refused = std::get_if<Refuse>(&action)) answer(refused->id, false);
+      if (const auto* const failed = std::get_if<Fail>(&action)) answer(failed->id, false);
       if (const auto* const timer = std::get_if<SetTimer>(&action)) {
-        after(std::max(0.0, timer->at.time_since_epoch().count() - now_),
-              [this, n, life = node.life, token = timer->token] {
-                if (nodes_[static_cast<std::size_t>(n)].life == life) feed(n, TimerFired{token});
-              });
+        later(n, std::max(0.0, timer->at.time_since_epoch().count() - now_),
+              [this, n, token = timer->token] { feed(n, TimerFired{token}); });
       }
     }
   }
 
-  void carryOut(int n, int life, const Send& send) {
+  // Runs after a while, unless the node has started anew by then.
+  void later(int n, double delay, std::function<void()> what) {
+    after(delay, [this, n, life = nodes_[static_cast<std::size_t>(n)].life, what = std::move(what)] {
+      if (nodes_[static_cast<std::size_t>(n)].life == life) what();
+    });
+  }
+
+  void carryOut(int n, const Send& send) {
     sends_[send.server].push_back(now_);
     const int attempt = attempts_[send.id.value]++;
-    const auto tell = [this, n, life](double delay, Event event) {
-      after(delay, [this, n, life, event = std::move(event)] {
-        if (nodes_[static_cast<std::size_t>(n)].life == life) feed(n, event);
-      });
-    };
-    const bool reads = send.server.value % 2 == 0;
-    AttemptEnded ended{send.id,
-                       attempt,
-                       send.server,
-                       reads ? Outcome::kPrefilled : Outcome::kOk,
-                       !reads,
-                       300,
-                       Duration(reads ? 0.08 : 1.0),
-                       {}};
-    if (!reads) tell(0.05, StreamStarted{send.id, attempt, send.server, Duration(0.05)});
-    tell(ended.elapsed.count(), ended);
+    out_[{send.id.value, attempt}] = {send.server, now_};
+    later(n, send.timeout.count(), [=, this] { end(n, send.id, attempt, Outcome::kTimeout); });
+    if (silent_.count(send.server) > 0) return;
+    if (send.server.value % 2 == 0) {
+      return later(n, 0.08, [=, this] { end(n, send.id, attempt, Outcome::kPrefilled); });
+    }
+    later(n, 0.05, [=, this] {
+      const auto it = out_.find({send.id.value, attempt});
+      if (it == out_.end()) return;
+      it->second.streams = true;  // its time-out is over
+      feed(n, StreamStarted{send.id, attempt, send.server, Duration(0.05)});
+    });
+    later(n, 1.0, [=, this] { end(n, send.id, attempt, Outcome::kOk); });
+  }
+
+  void end(int n, const RequestId& id, int attempt, Outcome outcome) {
+    const auto it = out_.find({id.value, attempt});
+    if (it == out_.end() || (outcome == Outcome::kTimeout && it->second.streams)) return;
+    const Out out = it->second;
+    out_.erase(it);
+    if (outcome == Outcome::kOk) answer(id, true);
+    const Duration took(now_ - out.sentAt);
+    feed(n, AttemptEnded{id, attempt, out.server, outcome, outcome == Outcome::kOk, 300, took, {}});
+  }
+
+  void answer(const RequestId& id, bool served) {
+    const auto it = asked_.find(id.value);
+    if (it == asked_.end()) return;
+    ++(served ? served_ : refused_);
+    slowestAnswer_ = std::max(slowestAnswer_, now_ - it->second - (served ? 1.0 : 0.0));
+    asked_.erase(it);
   }
 
+  struct Out {
+    ServerId server;
+    double sentAt = 0;
+    bool streams = false;
+  };
+  std::map<std::pair<std::string, int>, Out> out_;
+  std::map<std::string, double> asked_;  // open requests, and since when
+  std::set<ServerId> silent_;
+  std::size_t served_ = 0, refused_ = 0;
+  double slowestAnswer_ = 0;
+
   FleetPlan plan_;
   std::mt19937_64 random_;
   Settings settings_;
@@ -259,5 +310,47 @@
                       ColdCase{"three_hundred_restarted", planOf(300, 3, 1.5, 6, true)}),
     [](const auto& given) { return std::string(given.param.name); });
 
+// Four in five engines of one role say nothing, three times: every request has its answer in time, and
+// afterwards no jam stays.
+TEST(SilentEngines, LeaveNoRequestWithoutAnAnswerAndNoJamBehind) {
+  for (const Role role : {Role::kPrefill, Role::kDecode}) {
+    for (const int nodes : {3, 30}) {
+      FleetPlan plan;
+      plan.nodes = nodes;
+      plan.engines = 10;
+      plan.load = 0.3;
+      plan.cold = 0;
+      Fleet fleet(plan);
+      fleet.run(8);
+      for (int time = 0; time < 3; ++time) {
+        fleet.silence(role, 8);
+        fleet.run(11.0 + 6 * time);
+        fleet.silence(role, 0);
+        fleet.run(14.0 + 6 * time);
+      }
+      fleet.run(36);  // the last silence ended at 23
+      EXPECT_EQ(fleet.openFor(5), 0U);
+      EXPECT_LE(fleet.slowestAnswer(), 4);  // the clients' time
+      const std::size_t served = fleet.served(), refused = fleet.refused();
+      fleet.run(42);
+      const auto well = static_cast<double>(fleet.served() - served);
+      EXPECT_GE(well, 0.95 * (well + static_cast<double>(fleet.refused() - refused))) << nodes;
+    }
+  }
+}
+
+// On a calm day no node turns away all that it gets for seconds, and refusals do not single out sessions.
+TEST(CalmFleets, ServeAtEveryNode) {
+  for (const int nodes : {3, 30}) {
+    FleetPlan plan;
+    plan.nodes = nodes;
+    plan.cold = 0;
+    Fleet fleet(plan);
+    fleet.run(30);
+    EXPECT_EQ(fleet.refused(), 0U) << nodes;
+    EXPECT_GT(fleet.served(), 500U);
+  }
+}
+
 }  // namespace
 }  // namespace gannetcourse::test
