--- a/src/http1/client.h
+++ b/src/http1/client.h
@@ -23,8 +23,8 @@
   std::size_t maxConnections = 256;  // to all servers together
   Duration connectTimeout{0.25};
   Duration rest{0.05};  // after an answer, for a second one that does not belong to it to show
-  Duration idle{7};    // an idle connection is closed after it, well before its server would
-  Duration midway{3};  // silence inside a head or chunk after which the answer counts as spoilt
+  Duration idle{7};     // an idle connection is closed after it, well before its server would
+  Duration midway{3};   // silence inside a head or chunk after which the answer counts as spoilt
 };
 
 enum class End {
--- a/src/http1/parser.h
+++ b/src/http1/parser.h
@@ -15,7 +15,7 @@
 struct Limits {
   std::uint32_t head = 16 * 1024;   // bytes of a head
   std::uint64_t body = 256 * 1024;  // bytes of a body, and of one chunk; 0 = bodies without limit
-  std::size_t ahead = 512 * 1024;  // bytes that may wait behind a message
+  std::size_t ahead = 512 * 1024;   // bytes that may wait behind a message
 };
 
 class Fields {
@@ -51,11 +51,11 @@
   bool append(std::string_view bytes);
   State parse();
   Request& request();
-  int status() const;          // what to answer to one that is kBad
-  bool started() const;        // bytes of a request that is not whole have come
-  std::uint64_t held() const;  // bytes of memory it keeps for the request
-  std::size_t waiting() const; // bytes not read as part of a request yet
-  void next();                 // after kWhole: what waits behind it is the next request
+  int status() const;           // what to answer to one that is kBad
+  bool started() const;         // bytes of a request that is not whole have come
+  std::uint64_t held() const;   // bytes of memory it keeps for the request
+  std::size_t waiting() const;  // bytes not read as part of a request yet
+  void next();                  // after kWhole: what waits behind it is the next request
 
  private:
   class Impl;
--- a/src/http1/server.cpp
+++ b/src/http1/server.cpp
@@ -361,8 +361,8 @@
 }
 
 std::size_t Server::busy() const {
-  return static_cast<std::size_t>(
-      std::count_if(connections_.begin(), connections_.end(), [](const auto& c) { return !c->life().resting(); }));
+  return static_cast<std::size_t>(std::count_if(connections_.begin(), connections_.end(),
+                                                [](const auto& c) { return !c->life().resting(); }));
 }
 
 std::uint64_t Server::held() const {
--- a/src/net/connection.cpp
+++ b/src/net/connection.cpp
@@ -221,7 +221,8 @@
     if (fd >= 0) {
       accept_(fd);
     } else if (errno != EINTR && errno != ECONNABORTED) {
-      if (errno != EAGAIN && retryTimer_ == 0) retryTimer_ = loop_.after(kAcceptAgain, [this] {
+      if (errno != EAGAIN && retryTimer_ == 0)
+        retryTimer_ = loop_.after(kAcceptAgain, [this] {
           retryTimer_ = 0;
           acceptAll();
         });
--- a/src/platform/discovery.cpp
+++ b/src/platform/discovery.cpp
@@ -7,10 +7,11 @@
 
 using instance::Json;
 
-// An empty line comes every 2 s. A change counts as told 6 s after discovery had it: a watch without a sign of
-// life for kSilent gets a second one beside it, opened anew every kRenew until one of them speaks.
+// An empty line comes every 2 s. A change counts as told 6 s after discovery had it: a watch without a sign
+// of life for kSilent gets a second one beside it, opened anew every kRenew until one of them speaks.
 const Duration kSilent{2.8}, kRenew{2.5}, kLook{0.2};
-// Pauses before one that ended or was refused is opened again; the first again after one that lived for a while.
+// Pauses before one that ended or was refused is opened again; the first again after one that lived for a
+// while.
 const Duration kRetryFirst{0.2}, kRetryMost{0.5}, kLived{2};
 const Duration kOlderFor{2};  // discovery that tells only lists older than ours for this long counts anew
 constexpr std::size_t kMostObject = 8U << 20;  // bytes of one object
@@ -235,7 +236,8 @@
   if (retry_ != 0 || !older_) return;
   const Instant now = loop_.now();
   const bool silent = now - older_->heardAt > kSilent;
-  if (note_ && silent && !std::exchange(silent_, true)) note_("discovery is silent: a second watch is opened");
+  if (note_ && silent && !std::exchange(silent_, true))
+    note_("discovery is silent: a second watch is opened");
   if (newer_ ? now - newer_->openedAt > kRenew : silent) openBeside();
 }
 
--- a/src/platform/discovery.h
+++ b/src/platform/discovery.h
@@ -47,8 +47,8 @@
   bool quoted_ = false, escaped_ = false;
 };
 
-// Tells news from lists that are older than the one held. A discovery that counts anew is believed once it has
-// told nothing else for a while.
+// Tells news from lists that are older than the one held. A discovery that counts anew is believed once it
+// has told nothing else for a while.
 class ListVersion {
  public:
   enum class Verdict { kTake, kAskWhole };
@@ -72,8 +72,8 @@
   Watch(const Watch&) = delete;
   Watch& operator=(const Watch&) = delete;
   void reached(std::uint64_t index) { index_ = index; }  // the version at which to go on
-  void moveTo(const net::Endpoint& at);  // the open one stays until the new address speaks
-  void askWhole();                       // what came cannot be used: soon anew, from the start
+  void moveTo(const net::Endpoint& at);                  // the open one stays until the new address speaks
+  void askWhole();  // what came cannot be used: soon anew, from the start
 
  private:
   class Stream;
