--- a/src/policy/policy.cpp
+++ b/src/policy/policy.cpp
@@ -1,7 +1,6 @@
-// gannetcourse's decision module: every decision, table and tuned value. Its interface, with the meaning of
-// each setting, event and action, is include/gannetcourse/policy.h; docs/design.md tells why it is so.
-// The ordinary path is FlowKV's load-aware scheduler: a load score for each server, a reader by least time to
-// first token, and after the read a writer by least transfer time and wait. The rest guards that path.
+// The decision module: every decision, table and tuned value. Its interface is include/gannetcourse/policy.h;
+// docs/design.md tells why. The ordinary path is FlowKV's load-aware scheduler: a load score for each server,
+// a reader by least time to first token, and after the read a writer by least transfer time and wait.
 
 #include "gannetcourse/policy.h"
 
@@ -53,6 +52,7 @@
 constexpr double kPaceStep = 0.05;    // how far one answer moves what is usual for its class
 constexpr double kSlowPace = 3;       // a writer whose streams last this much longer than usual is slow
 constexpr double kLetIn = 0.5;        // of its aim that a first token may be expected to take to be let in
+constexpr double kLongRead = 3;       // usual reads beyond which what a prompt reads is no queue
 constexpr double kNoQueue = 0.25;     // mean prompts that all nodes have at a reader below which none queues
 constexpr double kOverShareRoom = 0.4;  // ... and of that, for those beyond their tenant's share
 constexpr double kShareSpan = 4;        // seconds of its share that a tenant may ask for at once
@@ -684,10 +684,10 @@
       const double room = roomOf(r) * (r.overShare ? kOverShareRoom : 1), then = plan.time + plan.onward;
       const Server& reader = *plan.server;
       const double queued = set_.nodes * pool(reader).queued / figure(meanPrompt_, 1000);
-      // The room is for queues. What a long prompt reads beyond the usual is none and adds to it, or a jam
-      // would turn away just these; where readers have none, such a prompt may take its own aim.
+      // The room is for queues. What a long prompt reads beyond thrice the usual adds to it, or a jam would
+      // turn away just these; where readers have no queue, such a prompt may take its own aim.
       const bool none = !r.overShare && queued < kNoQueue && reader.unanswered() == 0;
-      const double beyond = r.ask.promptTokens - plan.kept - figure(meanFresh_, kFreshPrior);
+      const double beyond = r.ask.promptTokens - plan.kept - kLongRead * figure(meanFresh_, kFreshPrior);
       const double more = r.overShare ? 0 : readRate(reader) * std::max(0.0, beyond);
       if (then <= kLetIn * (room + more) || (none && now_ + then <= r.aimAt)) {
         if (looksFirst(r, *plan.server)) return false;
--- a/tests/wire_test.cpp
+++ b/tests/wire_test.cpp
@@ -9,6 +9,8 @@
 #include <fstream>
 #include <nlohmann/json.hpp>
 #include <sstream>
+#include <utility>
+#include <vector>
 
 namespace gannetcourse::test {
 namespace {
@@ -61,6 +63,30 @@
          "\n";
 }
 
+std::string renamed(std::string text, const std::vector<std::pair<std::string, std::string>>& names) {
+  for (const auto& [from, to] : names) {
+    const std::string word = "\"" + from + "\"";
+    for (std::size_t at = 0; (at = text.find(word, at)) != std::string::npos; at += to.size() + 2)
+      text.replace(at, word.size(), "\"" + to + "\"");
+  }
+  return text;
+}
+
+// Classes, zones and kinds are told apart by their names and by nothing else that these may say.
+TEST(Wire, NamesDecideNothing) {
+  std::string input = frame(8.5, 1) + attach("n0");
+  for (int i = 0; i < 5; ++i) input += demand("n0", "r" + std::to_string(i));
+  input += kEnd;
+  for (int batch = 2; batch < 60; ++batch) input += frame(8.5 + 0.02 * batch, batch) + kEnd;
+  const Played plain = runBinary(input);
+  const Played other = runBinary(
+      renamed(input, {{"quick", "field-query"}, {"z", "colombo"}, {"p", "decode"}, {"d", "prefill"}}));
+  EXPECT_EQ(plain.code, 0);
+  EXPECT_NE(plain.out.find("4294967295"), std::string::npos);  // something is decided
+  EXPECT_EQ(other.out, plain.out);
+  EXPECT_EQ(other.err, plain.err);
+}
+
 TEST(Wire, EmptyBatchGetsAYield) {
   const Played run = runBinary(frame(8.5, 1) + kEnd);
   EXPECT_EQ(run.out, "{\"yield\":{\"batch\":1}}\n");
