--- a/src/platform/discovery.cpp
+++ b/src/platform/discovery.cpp
@@ -122,7 +122,7 @@
   void body(std::string_view bytes) override {
     const std::shared_ptr<Stream> self = shared_from_this();
     if (watch_ == nullptr || !good_) return;
-    const bool alive = cutter_.take(bytes, [this](std::string object) {
+    const bool alive = cutter_.take(bytes, [this](const std::string& object) {
       if (watch_ != nullptr) watch_->spoke(*this, &object);
     });
     if (alive && watch_ != nullptr) watch_->spoke(*this, nullptr);
