Review: state that could be derived and dead parts go; a factor of one is no safety

Read again as a whole. The cold budget's safety had become a factor of 1: it is left out. A held connection was known to the server beside the connection itself; Watch::open was called from one place; two accessors of the life of connections were for tests alone, which now look at the phase; the two ends of a life that lasts too long share their lines. Nothing decides otherwise. Seen, left: when a watch counts as silent and an older list is believed are decisions that stand in platform/discovery, the second as a class without I/O; the cutter of JSON objects is our own, as the JSON library in use reads no object in pieces.

--- a/src/http1/life.cpp
+++ b/src/http1/life.cpp
@@ -32,8 +32,7 @@
       return S::kNone;
     case P::kFlushing:
       if (what == H::kFlushed) return to(P::kLingering, S::kShut);
-      if (what == H::kOverdue) return to(P::kClosed, S::kClose);
-      return S::kNone;
+      [[fallthrough]];
     case P::kLingering:
       if (what == H::kOverdue) return to(P::kClosed, S::kClose);
       return S::kNone;
--- a/src/http1/life.h
+++ b/src/http1/life.h
@@ -41,7 +41,6 @@
   ServerPhase phase() const { return phase_; }
   bool resting() const { return phase_ == ServerPhase::kFresh || phase_ == ServerPhase::kIdle; }
   bool answering() const { return phase_ == ServerPhase::kAnswering; }
-  bool closed() const { return phase_ == ServerPhase::kClosed; }
   // Whether what comes is still read as requests.
   bool reads() const { return resting() || phase_ == ServerPhase::kReceiving || answering(); }
 
@@ -74,7 +73,6 @@
   // True where the connection goes on, false where it has ended.
   bool on(ClientHappening what);
   ClientPhase phase() const { return phase_; }
-  bool calling() const { return phase_ == ClientPhase::kConnecting || phase_ == ClientPhase::kCalling; }
   bool idle() const { return phase_ == ClientPhase::kIdle; }
   bool unused() const { return idle() || phase_ == ClientPhase::kResting; }
   bool closed() const { return phase_ == ClientPhase::kClosed; }
--- a/src/http1/server.cpp
+++ b/src/http1/server.cpp
@@ -234,7 +234,7 @@
   }
 
   void holdReading(bool held) {
-    if (std::exchange(holding_, held) != held) connection_.hold(held);
+    if (connection_.held() != held) connection_.hold(held);
   }
 
   void onWritable() override {
@@ -263,7 +263,7 @@
   ServerLife life_;
   std::shared_ptr<Exchange> exchange_;
   std::shared_ptr<bool> mark_ = std::make_shared<bool>(false);  // true: dropped
-  bool keep_ = true, asked_ = false, paused_ = false, holding_ = false;
+  bool keep_ = true, asked_ = false, paused_ = false;
   int turnAwayAs_ = 400;
   Instant since_;  // when its phase began
   Instant progressAt_{};
--- a/src/net/connection.h
+++ b/src/net/connection.h
@@ -68,6 +68,7 @@
   bool frozen() const { return frozen_; }
   // Leaves what comes in the kernel, so that the peer must wait; writing goes on.
   void hold(bool held);
+  bool held() const { return held_; }
   // Reads what the kernel holds now, frozen or not, whether or not an event has told of it.
   void poll();
 
--- a/src/platform/discovery.cpp
+++ b/src/platform/discovery.cpp
@@ -155,7 +155,7 @@
       told_(std::move(told)),
       note_(std::move(note)),
       client_(loop, watchOptions()) {
-  open();
+  openBeside();
   look_ = loop_.after(kLook, [this] { look(); });
 }
 
@@ -193,10 +193,6 @@
   loop_.cancel(std::exchange(retry_, 0));
   if (newer_) newer_->leave();
   newer_.reset();
-  open();
-}
-
-void Watch::open() {
   const auto stream = std::make_shared<Stream>(*this);
   (older_ ? newer_ : older_) = stream;
   const std::uint64_t from = std::exchange(askWhole_, false) ? 0 : index_;
--- a/src/platform/discovery.h
+++ b/src/platform/discovery.h
@@ -77,7 +77,6 @@
 
  private:
   class Stream;
-  void open();
   void openBeside();
   void look();
   void spoke(Stream& stream, const std::string* object);
--- a/src/policy/policy.cpp
+++ b/src/policy/policy.cpp
@@ -68,7 +68,6 @@
 constexpr double kHealing = 0.6;       // share of it that a success leaves
 constexpr double kColdUnknown = 2;     // requests a window, of all nodes, that a cold server bears surely
 constexpr double kColdMemory = 60;     // how long the most that servers took is remembered
-constexpr double kColdSafety = 1.0;    // share of the cold budget that is used
 constexpr int kMostLooks = 2;          // readers that a request may ask for their queue
 constexpr double kLookFrom = 0.2;      // requests told in readers' queues from which it is worth asking
 constexpr double kLookTime = 0.01;     // how long it waits for the answer
@@ -531,7 +530,7 @@
     const double age = std::max(0.0, now_ - s.coldSince), warm = sec(set_.coldWarmAfter);
     if (age >= warm + sec(set_.coldWindow)) return true;
     const double able = set_.coldStartCapacity + (1 - set_.coldStartCapacity) / 2 * std::min(1.0, age / warm);
-    const double part = kColdSafety * set_.coldOverloadFactor * able * pool(s).most * sec(set_.coldWindow);
+    const double part = set_.coldOverloadFactor * able * pool(s).most * sec(set_.coldWindow);
     const double budget = std::max(part, std::min(1.0, kColdUnknown / set_.nodes)), weight = sendWeight(r);
     const double span = sec(set_.coldWindow) * std::max(1.0, weight / budget);
     if (budget < weight && now_ - s.startSeen < s.coldPhase * span) return false;
--- a/tests/life_test.cpp
+++ b/tests/life_test.cpp
@@ -42,7 +42,7 @@
   for (const P phase : kPhases) {
     ServerLife life = lifeIn(phase);
     const S step = life.on(H::kPeerEnded);
-    EXPECT_TRUE(life.closed());
+    EXPECT_EQ(life.phase(), P::kClosed);
     EXPECT_EQ(step, phase == P::kAnswering ? S::kGone : phase == P::kClosed ? S::kNone : S::kClose);
   }
 }
@@ -84,11 +84,11 @@
 TEST(ServerLife, EveryPhaseEndsWhenItLastsTooLong) {
   for (const P phase : kPhases) {
     ServerLife life = lifeIn(phase);
-    for (int i = 0; i < 4 && !life.closed(); ++i) {
+    for (int i = 0; i < 4 && life.phase() != P::kClosed; ++i) {
       const S step = life.on(H::kOverdue);
       if (step == S::kFlush || step == S::kTurnAway) life.on(H::kFlushed);
     }
-    EXPECT_TRUE(life.closed());
+    EXPECT_EQ(life.phase(), P::kClosed);
   }
 }
 
@@ -125,9 +125,9 @@
   EXPECT_TRUE(life.on(ClientHappening::kRested));
   EXPECT_TRUE(life.idle());
   EXPECT_TRUE(life.on(ClientHappening::kCall));
-  EXPECT_TRUE(life.calling());
+  EXPECT_EQ(life.phase(), ClientPhase::kCalling);
   EXPECT_TRUE(life.on(ClientHappening::kRested));  // of an earlier rest
-  EXPECT_TRUE(life.calling());
+  EXPECT_EQ(life.phase(), ClientPhase::kCalling);
   EXPECT_FALSE(life.on(ClientHappening::kAnswerLast));
 }
 
