Failing tests: a failing epoll_ctl ends the node, a failed connect leaves a freed pointer

Seen: with epoll_ctl(ADD) failing with ENOMEM the test ends by std::system_error out of Loop::watch (loop.cpp, watch); with connect() failing at once AddressSanitizer reports heap-use-after-free in http1::Client::cancel (client.cpp:215), as the entry in calls_ was made before the connection had its call's number, so that drop() left it. Releases cancel their call 0.4 s later, whether or not it has ended: a connect that is refused at once is enough.

The tests link a shim of failing system calls (soak/), which the soak preloads into whole processes.

--- a/cmake/Program.cmake
+++ b/cmake/Program.cmake
@@ -68,3 +68,12 @@
 target_include_directories(gannetcourse_lab PUBLIC ${PROJECT_SOURCE_DIR}/lab)
 gannetcourse_schema(gannetcourse_lab ${PROJECT_SOURCE_DIR}/lab/day.xsd gannetcourse::lab daySchema)
 gannetcourse_program(gannetcourse-lab SOURCES lab/main.cpp LINK gannetcourse_lab CLI11::CLI11)
+
+# The soak's shim of failing system calls: linked into tests, preloaded into processes.
+add_library(gannetcourse_fault_shim OBJECT soak/fault_shim.cpp)
+set_target_properties(gannetcourse_fault_shim PROPERTIES POSITION_INDEPENDENT_CODE ON)
+target_include_directories(gannetcourse_fault_shim PUBLIC ${PROJECT_SOURCE_DIR}/soak)
+target_link_libraries(gannetcourse_fault_shim PUBLIC ${CMAKE_DL_LIBS})
+gannetcourse_warnings(gannetcourse_fault_shim)
+add_library(gannetcourse_fault_shim_preload SHARED $<TARGET_OBJECTS:gannetcourse_fault_shim>)
+target_link_libraries(gannetcourse_fault_shim_preload PRIVATE ${CMAKE_DL_LIBS})
--- /dev/null
+++ b/soak/fault_shim.cpp
@@ -0,0 +1,167 @@
+#include "fault_shim.h"
+
+#include <dlfcn.h>
+#include <fcntl.h>
+#include <sys/epoll.h>
+#include <sys/mman.h>
+#include <sys/socket.h>
+#include <sys/stat.h>
+#include <sys/uio.h>
+#include <time.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <cerrno>
+#include <cstdarg>
+#include <cstdio>
+#include <cstdlib>
+
+namespace gannetcourse::soak {
+namespace {
+
+// The C library's own function of this name.
+template <class Function>
+Function original(const char* name) {
+  return reinterpret_cast<Function>(dlsym(RTLD_NEXT, name));
+}
+
+std::uint32_t drawPerMille() {
+  static thread_local std::uint64_t state = 0x9e3779b97f4a7c15ULL ^ static_cast<std::uint64_t>(getpid());
+  state ^= state << 13;
+  state ^= state >> 7;
+  state ^= state << 17;
+  return static_cast<std::uint32_t>(state % kAlways);
+}
+
+// Whether this call is to fail; errno is set then.
+bool fails(FaultyCall call) {
+  FaultRule& rule = faultPlan().rules[static_cast<std::uint32_t>(call)];
+  if (rule.perMille == 0 || rule.remaining == 0 || drawPerMille() >= rule.perMille) return false;
+  if (rule.remaining != kUnlimited) --rule.remaining;
+  ++rule.failed;
+  errno = rule.error;
+  return true;
+}
+
+bool isFile(int fd) {
+  struct stat status {};
+  return fstat(fd, &status) == 0 && S_ISREG(status.st_mode);
+}
+
+// How many of the bytes a call on a socket is to handle.
+std::size_t partOf(std::size_t bytes) {
+  const bool part = bytes > 1 && drawPerMille() < faultPlan().shortPerMille;
+  return part ? 1 + drawPerMille() % (bytes - 1) : bytes;
+}
+
+void holdUp() {
+  const FaultPlan& plan = faultPlan();
+  if (plan.holdMillis > 0 && drawPerMille() < plan.holdPerMille) usleep(plan.holdMillis * 1000);
+}
+
+FaultPlan* sharedPlan() {
+  const char* const path = std::getenv("FAULT_PLAN");
+  if (path == nullptr) return nullptr;
+  static const auto openFile = original<int (*)(const char*, int, ...)>("open");
+  const int fd = openFile(path, O_RDWR | O_CLOEXEC);
+  if (fd < 0) return nullptr;
+  void* const memory = mmap(nullptr, sizeof(FaultPlan), PROT_READ | PROT_WRITE, MAP_SHARED, fd, 0);
+  ::close(fd);
+  return memory == MAP_FAILED ? nullptr : static_cast<FaultPlan*>(memory);
+}
+
+}  // namespace
+
+FaultPlan& faultPlan() {
+  static FaultPlan own;
+  static FaultPlan* const shared = sharedPlan();
+  return shared != nullptr ? *shared : own;
+}
+
+}  // namespace gannetcourse::soak
+
+using gannetcourse::soak::FaultyCall;
+namespace soak = gannetcourse::soak;
+
+extern "C" {
+
+int accept4(int fd, sockaddr* address, socklen_t* size, int flags) {
+  static const auto next = soak::original<int (*)(int, sockaddr*, socklen_t*, int)>("accept4");
+  return soak::fails(FaultyCall::kAccept) ? -1 : next(fd, address, size, flags);
+}
+
+int socket(int domain, int type, int protocol) noexcept {
+  static const auto next = soak::original<int (*)(int, int, int)>("socket");
+  return soak::fails(FaultyCall::kSocket) ? -1 : next(domain, type, protocol);
+}
+
+int connect(int fd, const sockaddr* address, socklen_t size) {
+  static const auto next = soak::original<int (*)(int, const sockaddr*, socklen_t)>("connect");
+  return soak::fails(FaultyCall::kConnect) ? -1 : next(fd, address, size);
+}
+
+int epoll_ctl(int epoll, int operation, int fd, epoll_event* event) noexcept {
+  static const auto next = soak::original<int (*)(int, int, int, epoll_event*)>("epoll_ctl");
+  if (operation == EPOLL_CTL_ADD && soak::fails(FaultyCall::kWatch)) return -1;
+  return next(epoll, operation, fd, event);
+}
+
+ssize_t recv(int fd, void* buffer, std::size_t size, int flags) {
+  static const auto next = soak::original<ssize_t (*)(int, void*, std::size_t, int)>("recv");
+  return soak::fails(FaultyCall::kReceive) ? -1 : next(fd, buffer, soak::partOf(size), flags);
+}
+
+ssize_t send(int fd, const void* buffer, std::size_t size, int flags) {
+  static const auto next = soak::original<ssize_t (*)(int, const void*, std::size_t, int)>("send");
+  if (soak::fails(FaultyCall::kSend)) return -1;
+  soak::holdUp();
+  return next(fd, buffer, soak::partOf(size), flags);
+}
+
+int open(const char* path, int flags, ...) {
+  static const auto next = soak::original<int (*)(const char*, int, ...)>("open");
+  va_list more;
+  va_start(more, flags);
+  const mode_t mode = (flags & O_CREAT) != 0 ? va_arg(more, mode_t) : 0;
+  va_end(more);
+  return soak::fails(FaultyCall::kOpen) ? -1 : next(path, flags, mode);
+}
+
+FILE* fopen(const char* path, const char* mode) {
+  static const auto next = soak::original<FILE* (*)(const char*, const char*)>("fopen");
+  return soak::fails(FaultyCall::kOpen) ? nullptr : next(path, mode);
+}
+
+FILE* fopen64(const char* path, const char* mode) {
+  static const auto next = soak::original<FILE* (*)(const char*, const char*)>("fopen64");
+  return soak::fails(FaultyCall::kOpen) ? nullptr : next(path, mode);
+}
+
+ssize_t write(int fd, const void* buffer, std::size_t size) {
+  static const auto next = soak::original<ssize_t (*)(int, const void*, std::size_t)>("write");
+  return soak::isFile(fd) && soak::fails(FaultyCall::kWrite) ? -1 : next(fd, buffer, size);
+}
+
+ssize_t writev(int fd, const iovec* parts, int count) {
+  static const auto next = soak::original<ssize_t (*)(int, const iovec*, int)>("writev");
+  return soak::isFile(fd) && soak::fails(FaultyCall::kWrite) ? -1 : next(fd, parts, count);
+}
+
+int fsync(int fd) {
+  static const auto next = soak::original<int (*)(int)>("fsync");
+  return soak::fails(FaultyCall::kSync) ? -1 : next(fd);
+}
+
+int rename(const char* from, const char* to) noexcept {
+  static const auto next = soak::original<int (*)(const char*, const char*)>("rename");
+  return soak::fails(FaultyCall::kRename) ? -1 : next(from, to);
+}
+
+int clock_gettime(clockid_t clock, timespec* time) noexcept {
+  static const auto next = soak::original<int (*)(clockid_t, timespec*)>("clock_gettime");
+  const int result = next(clock, time);
+  if (result == 0 && clock == CLOCK_REALTIME) time->tv_sec += soak::faultPlan().wallClockStepMillis / 1000;
+  return result;
+}
+
+}  // extern "C"
