A descriptor that cannot be watched at once is watched later; no pointer to a freed call

Now ENOMEM and ENOSPC are tried again every 10 ms; adding a descriptor to epoll reports its present state, so nothing that came meanwhile is lost. Other errors are faults of ours and still throw. Failures are counted.

Now the connection has its call before it connects, and ends that are told at the end of the iteration are kept by call, so that a cancel in between silences them, as the interface says.

--- a/src/http1/client.cpp
+++ b/src/http1/client.cpp
@@ -18,7 +18,12 @@
   ClientConnection(Client& client, const net::Endpoint& to)
       : client_(client), connection_(client.loop_, *this), to_(to) {}
 
-  void open() { connection_.connect(to_, client_.options_.connectTimeout); }
+  // Opens a connection for a call; it may have ended when this returns.
+  void open(CallId call, Client::HeadMaker head, std::shared_ptr<const std::string> body,
+            std::shared_ptr<CallSink> sink) {
+    begin(call, std::move(head), std::move(body), std::move(sink));
+    connection_.connect(to_, client_.options_.connectTimeout);
+  }
 
   void begin(CallId call, Client::HeadMaker head, std::shared_ptr<const std::string> body,
              std::shared_ptr<CallSink> sink) {
@@ -137,20 +142,16 @@
     const bool written = sent_ && connection_.pending() == 0;
     life_.handle(ClientEvent::kPeerEnded);
     client_.drop(this);
-    if (sink_) tell(written ? End::kBroken : End::kNotConnected, reason);
+    if (sink_) endCall(written ? End::kBroken : End::kNotConnected, reason);
   }
 
   void fail(End how, const std::string& why) {
     close();
-    if (sink_) tell(how, why);
+    if (sink_) endCall(how, why);
   }
 
-  // Told at the end of this iteration where the call may not have been returned to its owner yet.
-  void tell(End how, const std::string& why) {
-    client_.loop_.defer([sink = std::move(sink_), how, why, alive = client_.alive_] {
-      if (*alive) sink->end(how, why);
-    });
-    sink_.reset();
+  void endCall(End how, const std::string& why) {
+    client_.endLater(call_, std::exchange(sink_, nullptr), how, why);
   }
 
   Client& client_;
@@ -189,9 +190,7 @@
     return call;
   }
   if (connections_.size() >= options_.maxConnections && !makeRoom()) {
-    loop_.defer([sink = std::move(sink), alive = alive_] {
-      if (*alive) sink->end(End::kNoRoom, "no connection may be opened");
-    });
+    endLater(call, std::move(sink), End::kNoRoom, "no connection may be opened");
     return call;
   }
   connections_.push_back(std::make_shared<ClientConnection>(*this, to));
@@ -199,18 +198,22 @@
   connection->self_ = connections_.back();
   ++opened_;
   calls_[call] = connection;
-  connection->open();
-  if (connection->life().closed()) {  // at once
-    loop_.defer([sink = std::move(sink), alive = alive_] {
-      if (*alive) sink->end(End::kNotConnected, "no connection");
-    });
-    return call;
-  }
-  connection->begin(call, std::move(head), std::move(body), std::move(sink));
+  connection->open(call, std::move(head), std::move(body), std::move(sink));
   return call;
 }
 
+// An end is told at the end of this iteration: its call may not have been returned to its owner yet.
+void Client::endLater(CallId call, std::shared_ptr<CallSink> sink, End how, const std::string& why) {
+  ending_[call] = std::move(sink);
+  loop_.defer([this, alive = alive_, call, how, why] {
+    if (!*alive) return;
+    const auto ended = ending_.extract(call);
+    if (!ended.empty()) ended.mapped()->end(how, why);
+  });
+}
+
 void Client::cancel(CallId call) {
+  ending_.erase(call);
   const auto it = calls_.find(call);
   if (it != calls_.end()) it->second->cancel();
 }
--- a/src/http1/client.h
+++ b/src/http1/client.h
@@ -35,7 +35,8 @@
   kSpoilt         // the answer cannot be read
 };
 
-// What a call tells its owner; nothing after end(), nor after Client::cancel().
+// What a call tells its owner; nothing after end(), nor after Client::cancel(). It does not hear of its end
+// before Client::start() has returned.
 class CallSink {
  public:
   virtual ~CallSink() = default;
@@ -80,12 +81,14 @@
   bool makeRoom();
   void sweep();
   void drop(ClientConnection* connection);
+  void endLater(CallId call, std::shared_ptr<CallSink> sink, End how, const std::string& why);
 
   net::Loop& loop_;
   ClientOptions options_;
   std::list<std::shared_ptr<ClientConnection>> connections_;
   std::map<net::Endpoint, std::vector<ClientConnection*>> idle_;  // newest last
   std::map<CallId, ClientConnection*> calls_;
+  std::map<CallId, std::shared_ptr<CallSink>> ending_;  // whose end is told at the end of this iteration
   std::set<net::Endpoint> forgotten_;
   CallId lastCall_ = 0;
   std::uint64_t opened_ = 0;
--- a/src/net/loop.cpp
+++ b/src/net/loop.cpp
@@ -10,6 +10,7 @@
 #include <chrono>
 #include <cmath>
 #include <system_error>
+#include <utility>
 
 namespace gannetcourse::net {
 
@@ -31,6 +32,8 @@
 }
 
 namespace {
+const Duration kWatchAgain{0.01};  // after the kernel could not watch a descriptor
+
 [[noreturn]] void systemFault(const char* what) {
   throw std::system_error(errno, std::generic_category(), what);
 }
@@ -57,11 +60,31 @@
 
 void Loop::watch(int fd, Watcher* watcher) {
   const std::uint32_t generation = ++generation_;
+  watchers_[fd] = {watcher, generation};
+  if (registerWithKernel(fd, generation)) return;
+  unregistered_.emplace_back(fd, generation);
+  if (unregistered_.size() == 1) after(kWatchAgain, [this] { retryWatches(); });
+}
+
+// False where the kernel lacks the memory, or the user's share of it, for a moment. Whatever the descriptor
+// has become until it is registered is told then: adding it to epoll reports its present state.
+bool Loop::registerWithKernel(int fd, std::uint32_t generation) {
   epoll_event event{};
   event.events = EPOLLIN | EPOLLOUT | EPOLLRDHUP | EPOLLET;
   event.data.u64 = tagOf(fd, generation);
-  if (epoll_ctl(epoll_, EPOLL_CTL_ADD, fd, &event) != 0) systemFault("epoll_ctl");
-  watchers_[fd] = {watcher, generation};
+  if (epoll_ctl(epoll_, EPOLL_CTL_ADD, fd, &event) == 0) return true;
+  if (errno != ENOMEM && errno != ENOSPC) systemFault("epoll_ctl");
+  ++failedWatches_;
+  return false;
+}
+
+void Loop::retryWatches() {
+  for (const auto& [fd, generation] : std::exchange(unregistered_, {})) {
+    const auto it = watchers_.find(fd);
+    const bool wanted = it != watchers_.end() && it->second.second == generation;
+    if (wanted && !registerWithKernel(fd, generation)) unregistered_.emplace_back(fd, generation);
+  }
+  if (!unregistered_.empty()) after(kWatchAgain, [this] { retryWatches(); });
 }
 
 void Loop::unwatch(int fd) {
--- a/src/net/loop.h
+++ b/src/net/loop.h
@@ -55,8 +55,9 @@
   // The time at the start of this iteration.
   Instant now() const { return now_; }
 
-  void watch(int fd, Watcher* watcher);  // for reading and writing
-  void unwatch(int fd);                  // to be called before the descriptor is closed
+  // For reading and writing. Where the kernel has no memory for it just now it is tried again until it has.
+  void watch(int fd, Watcher* watcher);
+  void unwatch(int fd);  // to be called before the descriptor is closed
 
   TimerId at(Instant when, std::function<void()> task);
   TimerId after(Duration delay, std::function<void()> task) { return at(now_ + delay, std::move(task)); }
@@ -74,6 +75,9 @@
   bool step(Duration most);
   void stop();  // from this loop's thread; others post it
 
+  // How often the kernel could not watch a descriptor at once.
+  std::uint64_t failedWatches() const { return failedWatches_; }
+
   // How long the longest iteration took since the last call: what a stalled host adds to every answer.
   Duration takeLongestIteration();
 
@@ -82,6 +86,8 @@
   int waitMillis(Duration most) const;
   bool runTimers();
   bool runDeferred();
+  bool registerWithKernel(int fd, std::uint32_t generation);
+  void retryWatches();
 
   Clock clock_;
   int epoll_ = -1;
@@ -90,6 +96,8 @@
   bool stopped_ = false;
   std::unordered_map<int, std::pair<Watcher*, std::uint32_t>> watchers_;  // with a generation
   std::uint32_t generation_ = 0;
+  std::vector<std::pair<int, std::uint32_t>> unregistered_;  // watchers that the kernel does not know of yet
+  std::uint64_t failedWatches_ = 0;
   std::map<std::pair<Instant, TimerId>, std::function<void()>> timers_;
   std::unordered_map<TimerId, Instant> timerTimes_;
   TimerId nextTimer_ = 1;
