Failing tests: local faults blamed on engines, an interrupted connect, an accept that fails at the exit

Seen: with socket() failing with EMFILE for 0.1 s the request is answered 503 although both engines run: all its attempts end at once as connections that the engines refused (connection.cpp, connect: fail("no socket ...")), and each adds two steps to their records of lost contact. connect() that says EINTR ends the connection, though it goes on. accept4() failing as Server::end closes the listener resets the request that stands in its queue.

--- a/soak/fault_shim.cpp
+++ b/soak/fault_shim.cpp
@@ -97,7 +97,14 @@
 
 int connect(int fd, const sockaddr* address, socklen_t size) {
   static const auto next = soak::original<int (*)(int, const sockaddr*, socklen_t)>("connect");
-  return soak::fails(FaultyCall::kConnect) ? -1 : next(fd, address, size);
+  if (soak::fails(FaultyCall::kConnect)) return -1;
+  const int result = next(fd, address, size);
+  std::uint32_t& interrupted = soak::faultPlan().interruptedConnects;
+  if (result != 0 && errno == EINPROGRESS && interrupted > 0) {
+    --interrupted;
+    errno = EINTR;
+  }
+  return result;
 }
 
 int epoll_ctl(int epoll, int operation, int fd, epoll_event* event) noexcept {
--- a/soak/fault_shim.h
+++ b/soak/fault_shim.h
@@ -32,11 +32,11 @@
 // Plain memory without pointers: it is shared between processes.
 struct FaultPlan {
   FaultRule rules[kFaultyCalls];
-  std::uint32_t shortPerMille = 0;       // reads and writes of sockets that handle a part of their bytes only
-  std::uint32_t holdMillis = 0;          // the process is held up for this long before a send ...
-  std::uint32_t holdPerMille = 0;        // ... in this share of them
-  std::uint32_t reserved = 0;            // keeps the clock's step aligned
-  std::int64_t wallClockStepMillis = 0;  // added to the wall clock
+  std::uint32_t shortPerMille = 0;  // reads and writes of sockets that handle a part of their bytes only
+  std::uint32_t holdMillis = 0;     // the process is held up for this long before a send ...
+  std::uint32_t holdPerMille = 0;   // ... in this share of them
+  std::uint32_t interruptedConnects = 0;  // connects that go on, but say EINTR
+  std::int64_t wallClockStepMillis = 0;   // added to the wall clock
 };
 
 // The plan of this process.
--- a/tests/system_calls_test.cpp
+++ b/tests/system_calls_test.cpp
@@ -80,5 +80,73 @@
   EXPECT_EQ(sink->ends, 0);
 }
 
+// Nothing is wrong with the engines: their connections wait until this machine can open one.
+TEST_F(SystemCallsTest, ConnectionsThatThisMachineCannotOpenForAMomentAreOpenedAfterIt) {
+  start();
+  settle();
+  const struct {
+    FaultyCall call;
+    int error;
+  } kFaults[] = {{FaultyCall::kSocket, EMFILE},       {FaultyCall::kSocket, ENFILE},
+                 {FaultyCall::kSocket, ENOBUFS},      {FaultyCall::kConnect, EADDRNOTAVAIL},
+                 {FaultyCall::kConnect, ENETUNREACH}, {FaultyCall::kConnect, EAGAIN}};
+  for (const auto& fault : kFaults) {
+    for (const auto& peer : reader.peers) peer->connection.close();
+    for (const auto& peer : writer.peers) peer->connection.close();
+    settle();
+    RawSocket client;
+    ASSERT_TRUE(client.connect(node->port()));
+    settle();
+    fail(fault.call, fault.error);
+    client.send(ask("moment-" + std::to_string(fault.error)));
+    pass(0.1);
+    EXPECT_GT(rule(fault.call).failed, 0U);
+    heal();
+    std::string got;
+    within(1, [&] { return (got += client.receive()).find("0\r\n\r\n") != std::string::npos; });
+    EXPECT_EQ(got.substr(0, 12), "HTTP/1.1 200") << fault.error;
+  }
+  EXPECT_EQ(attempts(reader), std::size(kFaults));
+}
+
+// The connection goes on to come up, as after EINPROGRESS.
+TEST_F(SystemCallsTest, AConnectThatASignalInterruptsGoesOn) {
+  http1::Client client(loop, {});
+  const auto sink = std::make_shared<CountingSink>();
+  RawSocket listener;
+  sockaddr_in address = RawSocket::loopback(0);
+  socklen_t size = sizeof address;
+  ASSERT_EQ(::bind(listener.fd(), reinterpret_cast<const sockaddr*>(&address), size), 0);
+  ASSERT_EQ(::listen(listener.fd(), 1), 0);
+  getsockname(listener.fd(), reinterpret_cast<sockaddr*>(&address), &size);
+  soak::faultPlan().interruptedConnects = 1;
+  client.start(
+      {"127.0.0.1", ntohs(address.sin_port)}, [] { return std::string("GET / HTTP/1.1\r\n\r\n"); }, nullptr,
+      sink);
+  pass(0.05);
+  RawSocket accepted(::accept(listener.fd(), nullptr, nullptr));
+  EXPECT_EQ(accepted.receive().substr(0, 3), "GET");
+  EXPECT_EQ(sink->ends, 0);
+}
+
+// Closing the listener would reset what stands in its queue.
+TEST_F(SystemCallsTest, AnAcceptThatFailsAsTheListenerClosesIsTriedAgain) {
+  for (const int error : {ENFILE, EMFILE, ENOBUFS, ENOMEM, EPROTO, EHOSTUNREACH}) {
+    http1::Server server(loop, {}, {}, [](const std::shared_ptr<http1::Exchange>& exchange) {
+      exchange->respond(503, "", "", true);
+    });
+    RawSocket late;
+    ASSERT_TRUE(late.connect(server.port()));
+    late.send("GET / HTTP/1.1\r\n\r\n");
+    fail(FaultyCall::kAccept, error, 2);
+    server.end();
+    pass(0.5);
+    EXPECT_EQ(late.receive().substr(0, 12), "HTTP/1.1 503") << error;
+    late.close();
+    EXPECT_TRUE(within(2, [&] { return server.busy() == 0; })) << error;
+    heal();
+  }
+}
+
 }  // namespace
 }  // namespace gannetcourse::platform
