What this machine lacks for a moment is waited for, and blames no engine

Now it is tried again every 10 ms within the time to connect; where that is not enough the call ends as kNoRoom (not sent, safe to refuse, nobody blamed). EINTR of connect is EINPROGRESS. ENOMEM and ENOBUFS of recv and send are tried again. At the exit Server::end takes the kernel's queue before it closes the listener, for up to 2 s where accept fails; errors of accept that belong to one connection do not hold up the others. The gRPC server takes its queue as well.

--- a/src/grpc/server.cpp
+++ b/src/grpc/server.cpp
@@ -259,6 +259,7 @@
 
 void Server::drain() {
   if (std::exchange(draining_, true)) return;
+  listener_.acceptWaiting();  // closing it would reset those that stand in its queue
   listener_.close();
   for (auto& [key, connection] : connections_) connection->session_.goaway();
 }
--- a/src/http1/client.cpp
+++ b/src/http1/client.cpp
@@ -142,7 +142,9 @@
     const bool written = sent_ && connection_.pending() == 0;
     life_.handle(ClientEvent::kPeerEnded);
     client_.drop(this);
-    if (sink_) endCall(written ? End::kBroken : End::kNotConnected, reason);
+    if (!sink_) return;
+    const End unsent = connection_.failedLocally() ? End::kNoRoom : End::kNotConnected;
+    endCall(written ? End::kBroken : unsent, reason);
   }
 
   void fail(End how, const std::string& why) {
--- a/src/http1/client.h
+++ b/src/http1/client.h
@@ -29,7 +29,7 @@
 
 enum class End {
   kWhole,         // the answer has come to its end
-  kNoRoom,        // no connection may be opened: nothing was sent
+  kNoRoom,        // no connection may be opened, or this machine could open none: nothing was sent
   kNotConnected,  // never came up, or broke before the request's last byte was written
   kBroken,        // broke after that
   kSpoilt         // the answer cannot be read
--- a/src/http1/server.cpp
+++ b/src/http1/server.cpp
@@ -12,6 +12,8 @@
 namespace {
 
 const Duration kSweep{0.1};
+const Duration kQueueWithin{2};  // how long accepting may fail before the listener is closed over its queue
+const Duration kQueueAgain{0.01};
 
 }  // namespace
 
@@ -106,14 +108,27 @@
 
 void Server::end() {
   draining_ = true;
-  listener_.acceptWaiting();  // closing the listener would reset those that stand in its queue
+  endsBy_ = loop_.now() + kQueueWithin;
+  closeListener();
+}
+
+// Closing the listener would reset those that stand in its queue.
+void Server::closeListener() {
+  if (!listener_.acceptWaiting() && loop_.now() < *endsBy_) {
+    loop_.after(kQueueAgain, [this, alive = alive_] {
+      if (*alive) closeListener();
+    });
+    return;
+  }
+  endsBy_.reset();
   listener_.close();
   forEachConnection([](ServerConnection& c) { c.endUnlessAsked(); });
 }
 
 std::size_t Server::busy() const {
-  return static_cast<std::size_t>(std::count_if(connections_.begin(), connections_.end(),
-                                                [](const auto& c) { return !c->life().resting(); }));
+  const auto busy = std::count_if(connections_.begin(), connections_.end(),
+                                  [](const auto& c) { return !c->life().resting(); });
+  return static_cast<std::size_t>(busy) + (endsBy_ ? 1 : 0);
 }
 
 std::size_t Server::unsentBytes() const {
--- a/src/http1/server.h
+++ b/src/http1/server.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <list>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -59,11 +60,14 @@
   void take(const ServerOptions& options);  // bounds only
   // From now on each answer ends its connection, and those between two requests are ended.
   void drain();
-  // Takes no new connections and ends those on which nothing is asked. busy() tells when all have ended.
+  // Takes what stands in the kernel's queue, then no new connections, and ends those on which nothing is
+  // asked. busy() tells when all have ended.
   void end();
   std::size_t connections() const { return connections_.size(); }
-  std::size_t busy() const;         // connections that have more to do than to wait for a request
+  // Connections that have more to do than to wait for a request, and a listener that cannot be closed yet.
+  std::size_t busy() const;
   std::size_t unsentBytes() const;  // of answers that clients have not taken
+  std::uint64_t failedAccepts() const { return listener_.failedAccepts(); }
 
  private:
   friend class ServerConnection;
@@ -73,6 +77,7 @@
   template <class Step>
   void forEachConnection(const Step& step);
   void sweep();
+  void closeListener();
   void drop(ServerConnection* connection);  // at the end of this iteration
   std::uint64_t held() const;
 
@@ -81,6 +86,7 @@
   Handler handler_;
   Connections connections_;
   bool draining_ = false;
+  std::optional<Instant> endsBy_;  // while end() waits for the queue: when it waits no more
   net::TimerId sweepTimer_ = 0;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
   net::Listener listener_;
--- a/src/net/connection.cpp
+++ b/src/net/connection.cpp
@@ -31,8 +31,34 @@
 }
 
 constexpr int kBacklog = 4096;
-const Duration kAcceptAgain{0.1};     // after accepting failed
-const Duration kNextIteration{1e-6};  // past the time of this one
+const Duration kAcceptAgain{0.01};      // after accepting failed; twice as long each time
+const Duration kAcceptAgainMost{0.1};   // ... and never longer
+constexpr int kMostFailedAccepts = 16;  // in a row, before others have their turn
+const Duration kDialAgain{0.01};        // after this machine could not open a connection
+const Duration kTransferAgain{0.01};    // after the kernel had no memory for bytes
+const Duration kNextIteration{1e-6};    // past the time of this one
+
+// Errors of socket() and connect() that tell of this machine, not of the peer.
+bool isLocalFault(int error) {
+  switch (error) {
+    case EMFILE:
+    case ENFILE:
+    case ENOBUFS:
+    case ENOMEM:
+    case EAGAIN:  // no local port, or no entry in the routing cache
+    case EADDRNOTAVAIL:
+    case EADDRINUSE:
+    case ENETUNREACH:
+    case ENETDOWN:
+    case EPERM:  // a local firewall
+    case EACCES:
+      return true;
+    default:
+      return false;
+  }
+}
+
+bool lacksMemory(int error) { return error == ENOMEM || error == ENOBUFS; }
 
 // A socket that is bound to the address, whose port is filled in; -1 where that cannot be.
 int bound(sockaddr_in& address) {
@@ -69,20 +95,40 @@
 }
 
 void Connection::connect(const Endpoint& to, Duration timeout) {
-  const auto address = socketAddress(to);
-  const int fd = address ? socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0) : -1;
-  if (fd < 0) return fail("no socket for " + to.text());
-  fd_ = fd;
+  to_ = to;
   connecting_ = true;
-  sendAtOnce(fd_);
-  if (::connect(fd_, reinterpret_cast<const sockaddr*>(&*address), sizeof *address) != 0 &&
-      errno != EINPROGRESS) {
-    return fail(std::string("connect: ") + std::strerror(errno));
-  }
-  loop_.watch(fd_, this);
   connectTimer_ = loop_.after(timeout, [this] {
     connectTimer_ = 0;
-    fail("connect: timed out");
+    fail(localFault_ ? "connect: not possible on this machine" : "connect: timed out");
+  });
+  dial();
+}
+
+void Connection::dial() {
+  const auto address = socketAddress(to_);
+  if (!address) return fail("no address: " + to_.text());
+  const int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  if (fd < 0) return dialLater(errno);
+  sendAtOnce(fd);
+  const bool connected = ::connect(fd, reinterpret_cast<const sockaddr*>(&*address), sizeof *address) == 0;
+  const int error = connected ? 0 : errno;
+  // Interrupted by a signal it goes on, as every non-blocking connect does.
+  if (error != 0 && error != EINPROGRESS && error != EINTR) {
+    ::close(fd);
+    return isLocalFault(error) ? dialLater(error) : fail(std::string("connect: ") + std::strerror(error));
+  }
+  localFault_ = false;
+  fd_ = fd;
+  loop_.watch(fd_, this);
+}
+
+// The peer has not been asked for anything yet: its connection may still be opened in time.
+void Connection::dialLater(int error) {
+  if (!isLocalFault(error)) return fail(std::string("socket: ") + std::strerror(error));
+  localFault_ = true;
+  dialTimer_ = loop_.after(kDialAgain, [this] {
+    dialTimer_ = 0;
+    dial();
   });
 }
 
@@ -116,7 +162,7 @@
   std::size_t budget = kReadBudget;
   while (connected() && ((!frozen_ && !held_) || polled_)) {
     if (budget == 0) {
-      readOnLater();
+      readOnLater(kNextIteration);
       break;
     }
     const auto got = recv(fd_, buffer.data(), std::min(buffer.size(), budget), 0);
@@ -126,7 +172,11 @@
     } else if (got == 0) {
       fail("closed by peer");
     } else if (errno != EINTR) {
-      if (errno != EAGAIN) fail(std::string("read: ") + std::strerror(errno));
+      if (lacksMemory(errno)) {
+        readOnLater(kTransferAgain);
+      } else if (errno != EAGAIN) {
+        fail(std::string("read: ") + std::strerror(errno));
+      }
       break;
     }
   }
@@ -135,16 +185,26 @@
 
 // A peer that sends faster than its bytes are handled must not keep the loop from the others. The edge has
 // been used up, so that the rest is read by our own timer, in the next iteration.
-void Connection::readOnLater() {
+void Connection::readOnLater(Duration delay) {
   if (readTimer_ != 0) return;
-  readTimer_ = loop_.after(kNextIteration, [this] {
+  readTimer_ = loop_.after(delay, [this] {
     readTimer_ = 0;
     readAll();
   });
 }
 
+void Connection::flushLater() {
+  if (writeTimer_ != 0) return;
+  writeTimer_ = loop_.after(kTransferAgain, [this] {
+    writeTimer_ = 0;
+    if (!connected() || frozen_) return;
+    flush();
+    if (wantsOutput()) owner_.onWritable();
+  });
+}
+
 void Connection::append(std::string_view bytes) {
-  if (fd_ >= 0) out_.append(bytes);
+  if (open()) out_.append(bytes);
 }
 
 void Connection::append(std::span<const std::uint8_t> bytes) {
@@ -158,7 +218,11 @@
     if (sent >= 0) {
       outAt_ += static_cast<std::size_t>(sent);
     } else if (errno != EINTR) {
-      if (errno != EAGAIN) return fail(std::string("write: ") + std::strerror(errno));
+      if (lacksMemory(errno)) {
+        flushLater();
+      } else if (errno != EAGAIN) {
+        return fail(std::string("write: ") + std::strerror(errno));
+      }
       break;
     }
   }
@@ -210,21 +274,24 @@
 }
 
 void Connection::dropSocket() {
-  loop_.cancel(std::exchange(connectTimer_, 0));
-  loop_.cancel(std::exchange(readTimer_, 0));
+  for (TimerId* const timer : {&connectTimer_, &dialTimer_, &readTimer_, &writeTimer_})
+    loop_.cancel(std::exchange(*timer, 0));
+  connecting_ = false;
   if (fd_ < 0) return;
   loop_.unwatch(fd_);
   ::close(std::exchange(fd_, -1));
 }
 
-Listener::Listener(Loop& loop, const Endpoint& on, Accept accept) : loop_(loop), accept_(std::move(accept)) {
+Listener::Listener(Loop& loop, const Endpoint& on, Accept accept)
+    : loop_(loop), accept_(std::move(accept)), acceptPause_(kAcceptAgain) {
   auto address = socketAddress(on);
   // A port that the kernel chose is bound by its number as well: only then it stays ours while refusing.
   const int chooser = address && on.port == 0 ? bound(*address) : -1;
   fd_ = address ? bound(*address) : -1;
+  const bool listens = fd_ >= 0 && listen(fd_, kBacklog) == 0;
   const int fault = address ? errno : EINVAL;
   if (chooser >= 0) ::close(chooser);
-  if (fd_ < 0 || listen(fd_, kBacklog) != 0) {
+  if (!listens) {
     if (fd_ >= 0) ::close(std::exchange(fd_, -1));
     throw std::system_error(fault, std::generic_category(), "cannot listen on " + on.text());
   }
@@ -234,20 +301,36 @@
 
 void Listener::onReady(const Ready&) { acceptAll(); }
 
-void Listener::acceptAll() {
+bool Listener::acceptAll() {
+  int failures = 0;
   while (fd_ >= 0 && !paused_) {
     const int fd = accept4(fd_, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
     if (fd >= 0) {
+      failures = 0;
+      acceptPause_ = kAcceptAgain;
       accept_(fd);
-    } else if (errno != EINTR && errno != ECONNABORTED) {
-      if (errno != EAGAIN && retryTimer_ == 0)
-        retryTimer_ = loop_.after(kAcceptAgain, [this] {
-          retryTimer_ = 0;
-          acceptAll();
-        });
-      return;  // out of descriptors: the kernel keeps the rest
+      continue;
     }
+    if (errno == EAGAIN) return true;
+    if (errno == EINTR || errno == ECONNABORTED) continue;
+    ++failedAccepts_;
+    // An error of the connection that was next has taken it off the queue: the others are still there.
+    // Without a descriptor or memory the kernel keeps them all.
+    const bool ofConnection = !isLocalFault(errno);
+    if (ofConnection && ++failures < kMostFailedAccepts) continue;
+    acceptLater();
+    return false;
   }
+  return true;
+}
+
+void Listener::acceptLater() {
+  if (retryTimer_ != 0) return;
+  retryTimer_ = loop_.after(acceptPause_, [this] {
+    retryTimer_ = 0;
+    acceptAll();
+  });
+  acceptPause_ = std::min(kAcceptAgainMost, 2 * acceptPause_);
 }
 
 void Listener::refuse(bool refused) {
--- a/src/net/connection.h
+++ b/src/net/connection.h
@@ -50,10 +50,14 @@
 
   // Takes over an accepted socket.
   void adopt(int fd);
-  // Starts connecting; onConnected() or onClosed() follows, the latter also after `timeout`.
+  // Starts connecting; onConnected() or onClosed() follows, the latter also after `timeout`. Where this
+  // machine cannot open a connection just now (no descriptor, port, route or memory) it is tried again until
+  // then.
   void connect(const Endpoint& to, Duration timeout);
+  // Whether connecting ended for a want of this machine's own: the peer was never asked.
+  bool failedLocally() const { return localFault_; }
 
-  bool open() const { return fd_ >= 0; }
+  bool open() const { return fd_ >= 0 || connecting_; }
   bool connected() const { return fd_ >= 0 && !connecting_; }
   bool wantsOutput() const { return connected() && pending() < kWatermark; }
   std::size_t pending() const { return out_.size() - outAt_; }
@@ -76,9 +80,12 @@
 
  private:
   void onReady(const Ready& ready) override;
+  void dial();
+  void dialLater(int error);
   void finishConnect();
   void readAll();
-  void readOnLater();
+  void readOnLater(Duration delay);
+  void flushLater();
   void fail(const std::string& reason);
   void dropSocket();
 
@@ -86,7 +93,9 @@
   ConnectionOwner& owner_;
   int fd_ = -1;
   bool connecting_ = false, frozen_ = false, held_ = false, reading_ = false, polled_ = false;
-  TimerId connectTimer_ = 0, readTimer_ = 0;
+  bool localFault_ = false;  // the last try to connect failed here
+  Endpoint to_;              // while it connects
+  TimerId connectTimer_ = 0, dialTimer_ = 0, readTimer_ = 0, writeTimer_ = 0;
   std::string out_;
   std::size_t outAt_ = 0;
 };
@@ -101,12 +110,16 @@
   std::uint16_t port() const { return port_; }
   void pause(bool paused);    // leaves new connections in the kernel's queue
   void refuse(bool refused);  // as a machine without the process: the port stays ours, connects are refused
-  void acceptWaiting() { acceptAll(); }  // what stands in the kernel's queue now
+  // Takes what stands in the kernel's queue now. False where accepting failed, so that some may still be
+  // there.
+  bool acceptWaiting() { return acceptAll(); }
   void close();
+  std::uint64_t failedAccepts() const { return failedAccepts_; }
 
  private:
   void onReady(const Ready& ready) override;
-  void acceptAll();
+  bool acceptAll();
+  void acceptLater();
 
   Loop& loop_;
   Accept accept_;
@@ -114,6 +127,8 @@
   std::uint16_t port_ = 0;
   bool paused_ = false, refused_ = false;
   TimerId retryTimer_ = 0;
+  Duration acceptPause_;  // before accepting is tried again
+  std::uint64_t failedAccepts_ = 0;
 };
 
 }  // namespace gannetcourse::net
