--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -134,6 +134,18 @@
   }
 }
 
+// A machine may be held up between the decision and the write.
+TEST(NoEffectTwice, KeyedLeavesWithinItsWindowThoughTheMachineIsHeldUp) {
+  for (const double failsAfter : {0.8, 0.9}) {
+    Host host(effectSettings(Effect::kKeyed, DedupGroup::kAll));
+    host.list(1, {server(1, Role::kPrefill), server(2, Role::kDecode), server(3, Role::kDecode)});
+    host.request(1.1, "a");
+    const std::uint32_t writer = sentTo(host.ended(1.2, "a", 1, Outcome::kPrefilled));
+    host.ended(1.2 + failsAfter, "a", writer, Outcome::kError);
+    EXPECT_EQ(only<Send>(host.last).size(), failsAfter > 0.85 ? 0U : 1U);
+  }
+}
+
 // A request is finished under the class that it was taken with, whatever comes into service meanwhile.
 TEST(NoEffectTwice, NewSettingsInServiceDoNotLoosenTheClassOfWhatIsOut) {
   Host host(effectSettings(Effect::kUnsafe, DedupGroup::kAll));
@@ -264,6 +276,33 @@
   EXPECT_LE(only<Send>(host.all).size(), 1U) << "a third of a request in each window of 2 s";
 }
 
+// The wall clock by which a start is told may have been stepped, here or where it was written: the word of a
+// start that has just come counts more than the time in it.
+TEST(ColdServer, AStartToldAnHourOffIsTakenAsJustNow) {
+  for (const double off : {-3600.0, 3600.0}) {
+    Settings settings = twoStageSettings();
+    settings.classes[0].aim = Duration(100);
+    Host host(settings);
+    host.list(1, {server(1, Role::kPrefill), server(2, Role::kDecode)}, ServerList::Scope::kSaved);
+    host.list(1.5, {server(1, Role::kPrefill), server(2, Role::kDecode)});
+    ServerEntry fresh = server(1, Role::kPrefill);
+    fresh.startedAt = Instant(Duration(20 + off));
+    host.run(20);
+    host.list(20, {fresh}, ServerList::Scope::kChanges);
+    const auto sendsFrom = [&](double at) {
+      int sends = 0;
+      for (int i = 0; i < 10; ++i) {
+        const std::string id = "r" + std::to_string(at) + "-" + std::to_string(i);
+        sends += static_cast<int>(only<Send>(host.request(at + i * 0.01, id, 100, 90)).size());
+      }
+      return sends;
+    };
+    EXPECT_LE(sendsFrom(20.1), 1) << "cold, and nothing is known of what it takes";
+    host.run(20 + 10 + 2 + 6);
+    EXPECT_GE(sendsFrom(host.now + 0.01), 9) << "warm once its time is over";
+  }
+}
+
 // Three hundred nodes hear of a fresh server at once and all have a request for it: not even their first ones
 // may come together.
 TEST(ColdServer, NodesThatHearOfItTogetherDoNotAllGreetIt) {
