Failing tests: drains in spoilt entries, no list at all, an address that another engine took over

Seen: {"name":"a","status":"draining","group":-3} drains nobody (discovery.cpp, readTargets drops the whole entry), so that work goes on to a drained engine for good; a node with no known list and discovery away says 503 at /-/ready for ever (node.cpp, takeList sets the timer only where engines are known); where one object removes an engine and starts another at its address each call opens a connection anew for 30 s (engines.cpp, update: forget() after remember()).

--- a/tests/discovery_test.cpp
+++ b/tests/discovery_test.cpp
@@ -51,6 +51,22 @@
   }
 }
 
+TEST(ReadTargets, ADrainOrRemovalCountsWhateverElseItsEntrySays) {
+  const Json bad = {{"group", -3},   {"address", 7},    {"type", Json::array()},
+                    {"zone", false}, {"since_ms", "x"}, {"weight", nullptr}};
+  for (const char* const status : {"draining", "removed"}) {
+    for (const auto& [field, value] : bad.items()) {
+      Json entry = target("a", "prefill", "10.0.0.1:1", status);
+      entry[field] = value;
+      const auto list = readTargets(listOf(9, false, {entry}), {}, net::WallClock(Instant{}, 0));
+      ASSERT_TRUE(list);
+      ASSERT_EQ(list->engines.size(), 1U) << field;
+      EXPECT_EQ(list->engines[0].entry.id, numberOf("a")) << field;
+      EXPECT_NE(list->engines[0].entry.state, ServerEntry::State::kServing) << field;
+    }
+  }
+}
+
 TEST(ListVersion, OlderListsAreNoNewsUntilNothingElseComes) {
   using V = ListVersion::Verdict;
   ListVersion version;
--- a/tests/endings_test.cpp
+++ b/tests/endings_test.cpp
@@ -409,6 +409,39 @@
   EXPECT_EQ(statusOf(later), 200);
 }
 
+// What discovery has told counts as told after 6 s, and a node that is not ready after 30 s has failed to
+// start.
+TEST_F(EndingsTest, ANodeWithoutAnyListIsReadyInTimeAndRefuses) {
+  discovery.listener.close();
+  start([](Json& json) { json.erase("known"); });
+  pass(3);
+  EXPECT_EQ(statusOf(asks("GET /-/ready HTTP/1.1\r\n\r\n")), 503);
+  pass(3);
+  EXPECT_EQ(statusOf(asks("GET /-/ready HTTP/1.1\r\n\r\n")), 200);
+  const auto refused = asks(ask("early"));
+  pass(1.5);
+  EXPECT_EQ(statusOf(refused), 503);
+  EXPECT_TRUE(refused->has("Retry-After"));
+}
+
+// A replacement may come up where the engine that it replaces has been.
+TEST_F(EndingsTest, ConnectionsToAnAddressThatAnotherEngineTookOverAreKept) {
+  start();
+  settle();
+  watch()->send(chunkOf(listOf(8, false,
+                               {target("r2", "prefill", reader.address()),
+                                target("r1", "prefill", reader.address(), "removed")})
+                            .dump() +
+                        "\n"));
+  settle();
+  for (int i = 0; i < 4; ++i) {
+    const auto peer = asks(ask("again-" + std::to_string(i)));
+    ASSERT_TRUE(within(1, [&] { return peer->has("0\r\n\r\n"); }));
+    pass(0.2);
+  }
+  EXPECT_EQ(reader.peers.size(), 1U);
+}
+
 TEST_F(EndingsTest, ANodeThatGoesWithRequestsOpenLeavesNothingBehind) {
   reader.script = hold;
   start();
