A drain counts whatever else its entry says; a taken-over address is kept; a node without engines becomes ready

A start that is told as a change and lies more than 12 s back, or ahead, is now taken as just now (before: 6 s back, which left half of the slow start out).

--- a/src/platform/discovery.cpp
+++ b/src/platform/discovery.cpp
@@ -24,21 +24,35 @@
   return options;
 }
 
+ServerEntry::State stateOf(const std::string& status) {
+  if (status == "removed") return ServerEntry::State::kGone;
+  return status == "draining" ? ServerEntry::State::kDraining : ServerEntry::State::kServing;
+}
+
+// What an engine that is to be sent work has to tell of itself. Throws instance::Malformed.
+void readDescription(ToldEngine& told, const Json& entry, const instance::Names& names,
+                     const net::WallClock& clock) {
+  told.address = net::parseEndpoint(instance::word(entry, "address", ""));
+  names.describe(told.entry, instance::word(entry, "type", ""), instance::word(entry, "zone", ""));
+  told.entry.cell = static_cast<std::uint32_t>(instance::integer(entry, "group", 0, 0xffffffffU));
+  told.entry.startedAt = clock.instant(static_cast<std::int64_t>(instance::number(entry, "since_ms", 0)));
+}
+
+// Nothing where the engine cannot be sent work by what its entry says. A drain or removal counts whatever
+// else its entry says: to pass it over would be to go on sending.
 std::optional<ToldEngine> readTarget(const Json& entry, const instance::Names& names,
                                      const net::WallClock& clock) {
   if (!entry.is_object()) return std::nullopt;
   ToldEngine told;
   told.entry.id = numberOf(instance::text(entry, "name"));
-  const std::string status = instance::word(entry, "status", "up");
-  told.entry.state = status == "removed"    ? ServerEntry::State::kGone
-                     : status == "draining" ? ServerEntry::State::kDraining
-                                            : ServerEntry::State::kServing;
-  const auto address = net::parseEndpoint(instance::word(entry, "address", ""));
-  if (!address && told.entry.state == ServerEntry::State::kServing) return std::nullopt;
-  told.address = address;
-  names.describe(told.entry, instance::word(entry, "type", ""), instance::word(entry, "zone", ""));
-  told.entry.cell = static_cast<std::uint32_t>(instance::integer(entry, "group", 0, 0xffffffffU));
-  told.entry.startedAt = clock.instant(static_cast<std::int64_t>(instance::number(entry, "since_ms", 0)));
+  told.entry.state = stateOf(instance::word(entry, "status", "up"));
+  const bool serves = told.entry.state == ServerEntry::State::kServing;
+  try {
+    readDescription(told, entry, names, clock);
+  } catch (const instance::Malformed&) {
+    if (serves) throw;
+  }
+  if (serves && !told.address) return std::nullopt;
   return told;
 }
 
--- a/src/platform/engines.cpp
+++ b/src/platform/engines.cpp
@@ -233,28 +233,42 @@
   if (list.full) {
     for (auto& [id, engine] : engines_) engine.gone = true;
   }
-  for (const ToldEngine& told : list.engines) {
-    const bool gone = told.entry.state == ServerEntry::State::kGone;
-    const auto it = engines_.find(told.entry.id);
-    // What was decided before the word came, and has not left, does not go there any more.
-    if (it != engines_.end() && told.entry.state == ServerEntry::State::kDraining)
-      client_.cancelDialling(it->second.address);
-    if (gone && it == engines_.end()) continue;
-    Engine& engine = engines_[told.entry.id];
-    engine.gone = gone;
-    if (gone) continue;
-    if (!told.address) continue;
-    if (it != engines_.end() && engine.address != *told.address) client_.forget(engine.address);
-    engine.address = *told.address;
-    client_.remember(engine.address);
-  }
+  for (const ToldEngine& told : list.engines) take(told);
+  const std::set<net::Endpoint> serving = servingAddresses();
   for (auto& [id, engine] : engines_) {
     if (!engine.gone) engine.goneAt = {};
+    if (engine.serves()) {
+      engine.stopped = false;
+      continue;
+    }
+    const bool addressFree = serving.count(engine.address) == 0;  // no other engine has come up at it
+    // What was decided before the word came, and has not left, does not go there any more.
+    if (!std::exchange(engine.stopped, true) && addressFree) client_.cancelDialling(engine.address);
     if (!engine.gone || engine.goneAt != Instant{}) continue;
     engine.goneAt = loop_.now();
-    client_.cancelDialling(engine.address);
-    client_.forget(engine.address);
+    if (addressFree) client_.forget(engine.address);
+  }
+}
+
+void Engines::take(const ToldEngine& told) {
+  const bool gone = told.entry.state == ServerEntry::State::kGone;
+  const bool known = engines_.count(told.entry.id) > 0;
+  if (gone && !known) return;
+  Engine& engine = engines_[told.entry.id];
+  engine.gone = gone;
+  engine.draining = told.entry.state == ServerEntry::State::kDraining;
+  if (gone || !told.address) return;
+  if (known && engine.address != *told.address) client_.forget(engine.address);
+  engine.address = *told.address;
+  client_.remember(engine.address);
+}
+
+std::set<net::Endpoint> Engines::servingAddresses() const {
+  std::set<net::Endpoint> addresses;
+  for (const auto& [id, engine] : engines_) {
+    if (engine.serves()) addresses.insert(engine.address);
   }
+  return addresses;
 }
 
 void Engines::start(const router::StartRead& read) {
--- a/src/platform/engines.h
+++ b/src/platform/engines.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <unordered_map>
 
@@ -44,6 +45,7 @@
   std::size_t smallCalls() const override { return releases_; }
 
   // ---- For the node's account of itself ----
+  std::size_t known() const { return engines_.size(); }
   std::size_t open() const { return calls_.size(); }
   std::size_t connections() const { return client_.connections(); }
   std::size_t idleConnections() const { return client_.idle(); }
@@ -56,11 +58,15 @@
   struct Engine {
     net::Endpoint address;
     Instant heardAt{};  // when anything last came from it
-    bool gone = false;
+    bool gone = false, draining = false;
+    bool stopped = false;  // it takes nothing new, and what waited for a connection to it has been ended
     Instant goneAt{};
+    bool serves() const { return !gone && !draining; }
   };
   struct Release;
 
+  void take(const ToldEngine& told);
+  std::set<net::Endpoint> servingAddresses() const;
   void begin(router::CallKey call, ServerId engine, const std::string& id, Duration waits,
              const std::shared_ptr<const router::Work>& work, bool reads);
   void ended(router::CallKey call);
--- a/src/platform/node.cpp
+++ b/src/platform/node.cpp
@@ -15,6 +15,9 @@
 // The list that a node is started with may be old, and what discovery knows counts as told from the first
 // moment: the node waits this long for its word before it says that it is ready.
 const Duration kFirstWord{0.3};
+// ... and this long where it knows no engine: without a word by then it is ready and refuses, with a time to
+// come back.
+const Duration kNoListWithin{5};
 
 http1::ClientOptions clientOptions(const Configuration& c) {
   http1::ClientOptions options;
@@ -53,6 +56,8 @@
   driver_.use(engines_);
   engines_.takePinLimit(configuration_.policy.pinLimit);
   takeList(configuration_.known.is_object() ? configuration_.known : Json::object(), true);
+  readyTimer_ =
+      loop_.after(engines_.known() > 0 ? kFirstWord : kNoListWithin, [this] { front_.ready(true); });
   watch_ = std::make_unique<Watch>(
       loop_, configuration_.discovery, version_.held(), configuration_.policy.seed,
       [this](const std::string& object) { takeObject(object); },
@@ -96,8 +101,6 @@
   if (saved) told.scope = ServerList::Scope::kSaved;
   driver_.step([&](router::Core& core, Instant now) { core.serverList(now, told); });
   if (!saved) front_.ready(true);
-  if (!saved || list->engines.empty()) return;
-  readyTimer_ = loop_.after(kFirstWord, [this] { front_.ready(true); });
 }
 
 void Node::reload(Configuration fresh) {
--- a/src/policy/policy.cpp
+++ b/src/policy/policy.cpp
@@ -74,10 +74,10 @@
 constexpr double kLookTime = 0.01;     // how long it waits for the answer
 constexpr double kFreshPrior = 1000;   // tokens of a prompt that must be read
 constexpr double kProbeOften = 0.4;    // a server is probed no more often than this
-constexpr double kProbeBudget = 0.004;  // result that asking writers may cost, and readers that tell queues
-constexpr double kMostProbes = 4;       // probes that may be saved up
-constexpr double kHoldUp = 0.15;        // between a decision and its write a machine may be held up for this
-constexpr double kStartToldWithin = 6;  // a start that is told as a change is no older than this
+constexpr double kProbeBudget = 0.004;   // result that asking writers may cost, and readers that tell queues
+constexpr double kMostProbes = 4;        // probes that may be saved up
+constexpr double kHoldUp = 0.15;         // between a decision and its write a machine may be held up for this
+constexpr double kStartToldWithin = 12;  // a start told as a change that is older than this is not believed
 constexpr char kAskTimer[] = "ask";
 constexpr double kAskAgain = 0.7;  // pause after a failed discovery call
 
@@ -122,10 +122,10 @@
     if (restarted && !added) static_cast<Process&>(s) = Process{};  // nothing learned of the last one holds
     if (restarted) {
       // Starts are told by the wall clock, which may have been stepped here or where they were written: a
-      // start never lies ahead, and one that is news to a node that hears the list cannot be old.
+      // start never lies ahead, and one that is news to a node that hears the list is not old.
       const double told = entry.startedAt->time_since_epoch().count();
-      const double earliest = listHeard_ ? now_ - kStartToldWithin : told;
-      s.coldSince = std::max(s.coldSince, std::min(now_, std::max(told, earliest)));
+      const bool believed = told <= now_ && (!listHeard_ || told >= now_ - kStartToldWithin);
+      s.coldSince = std::max(s.coldSince, believed ? told : now_);
       s.startSeen = now_;
       s.coldPhase = draw();
     }
