--- /dev/null
+++ b/soak/client.py
@@ -0,0 +1,138 @@
+"""Stand-in clients in one process: good ones, some that leave early or write slowly, and some that stop in the middle
+of a request and stay. Each tells in the log what it sent and what came back.
+
+usage: client.py FOLDER NAME NODES-AS-JSON SECONDS SEED
+"""
+
+import asyncio
+import json
+import random
+import sys
+import time
+
+from wire import DONE, EventLog
+
+CLASSES = [("chat", 0.6), ("keyed", 0.2), ("pay", 0.2)]
+STREAMS = 8  # requests at once in this process
+AFTER_DEADLINE = 3.0  # seconds that a client waits beyond its time, to see whether an answer comes at all
+
+
+class Client:
+    def __init__(self, folder, name, nodes, seconds, seed):
+        self.log = EventLog(folder, name)
+        self.name, self.nodes = name, nodes
+        self.end = time.monotonic() + float(seconds)
+        self.random = random.Random(int(seed))
+        self.count = 0
+
+    def request(self, request_id, cls, budget):
+        body = b'{"messages":[]}'
+        return (f"POST /v1/chat/completions HTTP/1.1\r\nHost: b\r\nX-Call-Id: {request_id}\r\nX-Call-Class: {cls}\r\n"
+                f"X-Route-Hash: {self.random.getrandbits(64):016x}\r\nX-Budget-Ms: {budget}\r\n"
+                f"X-Call-Info: prompt_len={self.random.randrange(50, 4000)},max_out=80\r\n"
+                f"Content-Length: {len(body)}\r\n\r\n").encode() + body
+
+    async def run(self):
+        await asyncio.gather(*(self.lane() for _ in range(STREAMS)), self.halves())
+
+    async def lane(self):
+        connection, node = None, None
+        while time.monotonic() < self.end:
+            await asyncio.sleep(self.random.uniform(0, 0.2))
+            fresh = connection is None
+            if fresh:
+                node = self.random.choice(list(self.nodes))
+                try:
+                    connection = await asyncio.open_connection("127.0.0.1", self.nodes[node])
+                except OSError:
+                    connection = None
+                    await asyncio.sleep(0.1)
+                    continue
+            if not await self.ask(node, connection, fresh):
+                connection[1].transport.abort()
+                connection = None
+
+    async def ask(self, node, connection, fresh):
+        """One request; True where its connection may be used again."""
+        reader, writer = connection
+        self.count += 1
+        request_id = f"{self.name}-{self.count}"
+        cls = self.random.choices([c for c, _ in CLASSES], [w for _, w in CLASSES])[0]
+        budget = self.random.choice([400, 1500, 3000])
+        data = self.request(request_id, cls, budget)
+        try:
+            if self.random.random() < 0.1:  # in pieces
+                cut = self.random.randrange(1, len(data))
+                writer.write(data[:cut])
+                await asyncio.sleep(self.random.uniform(0, 0.1))
+                data = data[cut:]
+            writer.write(data)
+            await writer.drain()
+        except ConnectionError:
+            return False
+        sent = time.monotonic()
+        self.log.write("asked", id=request_id, node=node, cls=cls, budget=budget, fresh=fresh)
+        patience = budget / 1000 + AFTER_DEADLINE
+        if self.random.random() < 0.1:
+            patience = self.random.uniform(0, 0.3)
+        try:
+            return await asyncio.wait_for(self.answer(request_id, reader), patience)
+        except asyncio.TimeoutError:
+            writer.transport.abort()
+            self.log.write("left", id=request_id, after=time.monotonic() - sent)
+        except (asyncio.IncompleteReadError, ConnectionError, ValueError) as fault:
+            self.log.write("cut", id=request_id, why=type(fault).__name__)
+        return False
+
+    async def answer(self, request_id, reader):
+        head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
+        status = int(head.split(" ", 2)[1])
+        last = "connection: close" in head.lower()
+        if "chunked" not in head.lower():
+            length = int(head.lower().split("content-length:")[1].split("\r\n")[0])
+            await reader.readexactly(length)
+            self.log.write("answered", id=request_id, status=status)
+            return not last
+        self.log.write("started", id=request_id)
+        body = b""
+        while (size := int(await reader.readline(), 16)) > 0:
+            body += await reader.readexactly(size)
+            await reader.readexactly(2)
+        await reader.readexactly(2)
+        self.log.write("answered", id=request_id, status=status, right=self.is_right(request_id, body))
+        return not last
+
+    @staticmethod
+    def is_right(request_id, body):
+        """Whether the stream is one engine's for this request, from its first event to its last."""
+        events = [e for e in body.split(b"\n\n") if e]
+        if not events or events[-1] + b"\n\n" != DONE:
+            return False
+        told = [json.loads(e[len(b"data: "):]) for e in events[:-1]]
+        return [e["index"] for e in told] == list(range(len(told))) and all(e["id"] == request_id for e in told)
+
+    async def halves(self):
+        """Clients that stop in the middle of a request and stay."""
+        while time.monotonic() < self.end:
+            await asyncio.sleep(self.random.uniform(0.3, 1))
+            node = self.random.choice(list(self.nodes))
+            try:
+                reader, writer = await asyncio.open_connection("127.0.0.1", self.nodes[node])
+                data = self.request("half", "chat", 1000)
+                writer.write(data[:self.random.randrange(1, len(data))])
+                stopped = time.monotonic()
+                await asyncio.wait_for(reader.read(), 6)
+            except (OSError, asyncio.TimeoutError):
+                pass
+            self.log.write("half", node=node, took=time.monotonic() - stopped)
+            writer.close()
+
+
+async def main(folder, name, nodes, seconds, seed):
+    client = Client(folder, name, json.loads(nodes), seconds, seed)
+    await client.run()
+    client.log.write("done")
+
+
+if __name__ == "__main__":
+    asyncio.run(main(*sys.argv[1:]))
