--- a/soak/run.py
+++ b/soak/run.py
@@ -27,6 +27,7 @@
 
 HERE = pathlib.Path(__file__).resolve().parent
 NODES, READERS, WRITERS, CLIENTS, PROXIES = 5, 4, 4, 4, 2
+FIRST_PORT, PORT_RANGES, PORTS_A_RANGE = 10000, 100, 200
 GRACE = 7.5  # seconds from SIGTERM to SIGKILL: more than the longest deadline
 SETTINGS = {
     "balancers": NODES,
@@ -46,14 +47,19 @@
     "tenants": [], "tickS": 0.004, "worthBy": "work", "zone": "north", "zones": ["north"]}
 
 
-def free_ports(count):
-    """Ports that the kernel chooses; they are free again when this returns."""
-    sockets = [socket.socket() for _ in range(count)]
-    for one in sockets:
-        one.bind(("127.0.0.1", 0))
-    ports = [one.getsockname()[1] for one in sockets]
-    for one in sockets:
-        one.close()
+def free_ports(count, seed):
+    """Ports below those that the kernel chooses by itself, so that no outgoing connection takes one meanwhile; each
+    seed begins elsewhere, so that several runs may play at once."""
+    ports, port = [], FIRST_PORT + seed % PORT_RANGES * PORTS_A_RANGE
+    while len(ports) < count:
+        port += 1
+        with socket.socket() as probe:
+            probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            try:
+                probe.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+            ports.append(port)
     return ports
 
 
@@ -65,7 +71,7 @@
         self.nodes = [f"n{i}" for i in range(NODES)]
         self.roles = {f"r{i}": "prefill" for i in range(READERS)} | {f"w{i}": "decode" for i in range(WRITERS)}
         engines = list(self.roles)
-        ports = iter(free_ports(2 * NODES + len(engines) + NODES * len(engines)))
+        ports = iter(free_ports(2 * NODES + len(engines) + NODES * len(engines), options.seed))
         self.node_port = {n: next(ports) for n in self.nodes}
         self.watch_port = {n: next(ports) for n in self.nodes}
         self.engine_port = {e: next(ports) for e in engines}
@@ -73,7 +79,8 @@
         self.entries = {e: {"zone": "north", "type": self.roles[e], "group": 0, "status": "up", "weight": 1.0,
                             "since_ms": 0} for e in engines}
         self.plans = {n: shim.Plan(f"{folder}/{n}.faults") for n in self.nodes}
-        self.node_process, self.engine_process, self.others = {}, {}, []
+        self.node_process, self.engine_process, self.proxies, self.clients = {}, {}, [], []
+        self.discovery = None
         self.clock_step = {n: 0 for n in self.nodes}
         self.due = []  # (time, what to do then)
         self.crashes = []
@@ -116,7 +123,6 @@
         plan = {"nodes": self.watch_port, "entries": self.entries,
                 "addresses": {n: {e: f"127.0.0.1:{self.pair_port[n, e]}" for e in self.roles} for n in self.nodes}}
         self.discovery = self.python("discovery.py", json.dumps(plan), steered=True)
-        self.proxies = []
         for i in range(PROXIES):
             engines = list(self.roles)[i::PROXIES]
             routes = [[n, e, self.pair_port[n, e], self.engine_port[e]] for n in self.nodes for e in engines]
