Failing tests: a file that is still written at SIGHUP, an address still in use at the start, a log that nobody reads

A start whose address the process before still has ends with 1. With a full pipe as standard error the exit never comes (Log::Impl joins its thread).

--- a/soak/audit.py
+++ b/soak/audit.py
@@ -153,7 +153,10 @@
     def budgets(self):
         for request_id, ask, what in self.asked():
             sends = [s for s in what["sent"] if s["method"] == "POST"]
-            for began, sent in zip(what["began"], sends):
+            for began in what["began"]:
+                sent = next((s for s in sends if s["pair"].endswith(">" + began["who"])), None)
+                if sent is None:
+                    continue
                 left = ask["t"] + ask["budget"] / 1000 - sent["t"]
                 if began["budget"] / 1000 > left + BUDGET_SLACK + SLACK:
                     yield f"deadline: {request_id} of {ask['node']} told {began['budget']} ms with {left * 1000:.0f} left"
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -52,6 +52,8 @@
                         self.log.write("sent", pair=here, id=request_id.decode(), method=method.decode())
                 while self.modes.get(engine) == "hold":
                     await asyncio.sleep(0.02)
+                    if source.at_eof():  # given up meanwhile: a connection over a cut link is reset at its return
+                        return
                 if self.modes.get(engine) == "slow":
                     await asyncio.sleep(SLOW)
                 target.write(data)
--- a/tests/platform_daemon_test.cpp
+++ b/tests/platform_daemon_test.cpp
@@ -29,15 +29,19 @@
 
   void writeConfiguration(const Json& json) const { std::ofstream(folder_ / "config.json") << json.dump(); }
 
-  void launch() {
+  void launch(int standardError = -1) {
     std::string variable = "NODE_CONFIG=" + (folder_ / "config.json").string();
     std::string program = GANNETCOURSE, command = "platform";
     char* const arguments[] = {program.data(), command.data(), nullptr};
     char* const environment[] = {variable.data(), nullptr};
     posix_spawn_file_actions_t actions;
     posix_spawn_file_actions_init(&actions);
-    posix_spawn_file_actions_addopen(&actions, STDERR_FILENO, (folder_ / "log").c_str(),
-                                     O_WRONLY | O_CREAT | O_TRUNC, 0600);
+    if (standardError >= 0) {
+      posix_spawn_file_actions_adddup2(&actions, standardError, STDERR_FILENO);
+    } else {
+      posix_spawn_file_actions_addopen(&actions, STDERR_FILENO, (folder_ / "log").c_str(),
+                                       O_WRONLY | O_CREAT | O_TRUNC, 0600);
+    }
     ASSERT_EQ(posix_spawn(&process_, GANNETCOURSE, &actions, nullptr, arguments, environment), 0);
     posix_spawn_file_actions_destroy(&actions);
   }
@@ -121,6 +125,51 @@
   EXPECT_EQ(exitCode(), 0);
 }
 
+// The file may still be written when the signal comes, or not be opened for a moment.
+TEST_F(PlatformDaemonTest, AFileThatIsStillWrittenAtTheSignalIsReadAgain) {
+  writeConfiguration(file());
+  launch();
+  ASSERT_NE(port(), 0);
+  std::ofstream(folder_ / "config.json") << file().dump().substr(0, 200);
+  kill(process_, SIGHUP);
+  ASSERT_TRUE(logs("not valid JSON"));
+  Scripted moved(loop, [](Peer& p, const http1::Request&) { p.send(kStreamHead); });
+  Json fresh = file();
+  fresh["discovery"] = moved.address();
+  writeConfiguration(fresh);
+  EXPECT_TRUE(logs("configuration reloaded"));
+  EXPECT_TRUE(until([&] { return !moved.seen.empty(); }));
+}
+
+// The process that had the address before may still be at its end.
+TEST_F(PlatformDaemonTest, AStartWaitsForItsAddress) {
+  net::Listener before(loop, {}, [](int fd) { close(fd); });
+  Json json = file();
+  json["listen"] = "127.0.0.1:" + std::to_string(before.port());
+  writeConfiguration(json);
+  launch();
+  EXPECT_TRUE(logs("cannot listen"));
+  before.close();
+  EXPECT_NE(port(), 0);
+  EXPECT_EQ(statusOf(asksProcess(ask("first"))), 200);
+}
+
+TEST_F(PlatformDaemonTest, AnExitDoesNotWaitForALogThatNobodyReads) {
+  int ends[2];
+  ASSERT_EQ(pipe2(ends, O_CLOEXEC), 0);
+  fcntl(ends[1], F_SETFL, O_NONBLOCK);
+  while (write(ends[1], "x", 1) == 1) {
+  }
+  fcntl(ends[1], F_SETFL, 0);
+  writeConfiguration(file());
+  launch(ends[1]);
+  ASSERT_TRUE(until([&] { return !discovery.seen.empty(); }));
+  kill(process_, SIGTERM);
+  EXPECT_EQ(exitCode(), 0);
+  close(ends[0]);
+  close(ends[1]);
+}
+
 TEST_F(PlatformDaemonTest, AStartWithABadFileNamesTheFieldAndEnds) {
   Json bad = file();
   bad["settings"]["limits"]["maxAttempts"] = "six";
