--- a/src/daemon/log.cpp
+++ b/src/daemon/log.cpp
@@ -5,7 +5,11 @@
 #include <spdlog/sinks/stdout_sinks.h>
 #include <spdlog/spdlog.h>
 
+#include <cstdlib>
+#include <future>
 #include <nlohmann/json.hpp>
+#include <thread>
+#include <utility>
 
 namespace gannetcourse::daemon {
 namespace {
@@ -68,16 +72,30 @@
 Log::Log(const std::string& file, std::size_t queue) : impl_(std::make_unique<Impl>(file, queue)) {}
 Log::~Log() = default;
 
+void Log::endWithin(Duration most) {
+  std::promise<void> written;
+  const std::future<void> done = written.get_future();
+  std::thread writer([impl = std::move(impl_), &written]() mutable {
+    impl.reset();
+    written.set_value();
+  });
+  // Nothing that a thread still waits on may go before it: the process ends as it stands.
+  if (done.wait_for(most) != std::future_status::ready) std::_Exit(0);
+  writer.join();
+}
+
 void Log::setLevels(const std::string& level, const std::map<std::string, std::string>& packages) {
   impl_->setLevels(level, packages);
 }
 
 void Log::write(const std::string& package, const std::string& level, const std::string& text) {
+  if (!impl_) return;  // it has ended
   const auto value = spdlog::level::from_str(level);
   if (impl_->wanted(package, value)) impl_->write(value, {{"package", package}, {"text", text}});
 }
 
 void Log::write(const router::Record& record) {
+  if (!impl_) return;  // it has ended
   const auto level = endsRequest(record.action) ? spdlog::level::info : spdlog::level::debug;
   if (!impl_->wanted("router", level)) return;
   nlohmann::ordered_json fields = {{"package", "router"}, {"action", record.action}};
--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -3,6 +3,7 @@
 #include <iostream>
 
 #include "daemon/serve.h"
+#include "daemon/signals.h"
 
 int main(int argc, char** argv) {
   std::signal(SIGPIPE, SIG_IGN);
@@ -25,6 +26,8 @@
     std::cout << "gannetcourse " GANNETCOURSE_VERSION "\n";
     return 0;
   }
+  // From here on a signal waits for the node that it is meant for.
+  if (serve->parsed() || platform->parsed()) gannetcourse::daemon::blockSignals();
   if (platform->parsed()) return gannetcourse::daemon::platformNode(records);
   return check->parsed() ? gannetcourse::daemon::check(settings) : gannetcourse::daemon::serve(settings);
 }
--- a/src/daemon/serve.cpp
+++ b/src/daemon/serve.cpp
@@ -14,6 +14,8 @@
 namespace gannetcourse::daemon {
 namespace {
 
+const Duration kLogWithin{1};  // for the last lines of the log at the exit
+
 std::string startName() {
   std::random_device random;
   char text[16];
@@ -65,6 +67,7 @@
     loop.run();
     loop.step(Duration(0));  // what is written goes out
     log.write("daemon", "info", "drained");
+    log.endWithin(kLogWithin);
     return 0;
   } catch (const config::Faults& faults) {
     printFaults(faults);
--- a/src/daemon/signals.cpp
+++ b/src/daemon/signals.cpp
@@ -10,11 +10,25 @@
 
 namespace gannetcourse::daemon {
 
-Signals::Signals(net::Loop& loop, std::function<void(int)> tell) : loop_(loop), tell_(std::move(tell)) {
+namespace {
+
+sigset_t handledSignals() {
   sigset_t set;
   sigemptyset(&set);
   for (const int number : {SIGHUP, SIGTERM, SIGINT}) sigaddset(&set, number);
+  return set;
+}
+
+}  // namespace
+
+void blockSignals() {
+  const sigset_t set = handledSignals();
   pthread_sigmask(SIG_BLOCK, &set, nullptr);
+}
+
+Signals::Signals(net::Loop& loop, std::function<void(int)> tell) : loop_(loop), tell_(std::move(tell)) {
+  blockSignals();
+  const sigset_t set = handledSignals();
   fd_ = signalfd(-1, &set, SFD_NONBLOCK | SFD_CLOEXEC);
   if (fd_ < 0) throw std::system_error(errno, std::generic_category(), "signalfd");
   loop_.watch(fd_, this);
--- a/src/daemon/signals.h
+++ b/src/daemon/signals.h
@@ -7,6 +7,10 @@
 
 namespace gannetcourse::daemon {
 
+// Blocks these signals: they wait until Signals reads them. To be called as the first thing of a process, so
+// that none ends it while it starts.
+void blockSignals();
+
 // To be made before any other thread starts: threads inherit that these signals are blocked.
 class Signals final : private net::Watcher {
  public:
