A stream that breaks past its first token is no late answer to the guard

Core::Impl::streamLost clears `started` before it answers, so that a broken stream was judged by the time to its first token. Tokens delivered decide now.

--- a/src/router/core.cpp
+++ b/src/router/core.cpp
@@ -620,7 +620,7 @@
 
   void answer(Request& r, Verdict verdict, Duration retryAfter, const std::string& why) {
     r.answered = true;
-    if (!r.started) guard_.answered(now_, r.key, r.end);
+    if (r.nextIndex == 0) guard_.answered(now_, r.key, r.end);  // else its first token was the answer
     touch(r);
     ++(verdict == Verdict::kServed    ? counts_.served
        : verdict == Verdict::kRefused ? counts_.refused
