--- a/tests/endings_test.cpp
+++ b/tests/endings_test.cpp
@@ -9,6 +9,18 @@
 
 using namespace test;
 
+// Hears what becomes of calls and does nothing.
+struct IgnoringSink final : engines::Sink {
+  void readEnded(router::CallKey, std::string, double, std::optional<LoadReport>) override {}
+  void token(router::CallKey, std::uint32_t, std::string) override {}
+  void callEnded(router::CallKey, Outcome, double, std::optional<LoadReport>, const std::string&,
+                 recovery::Ending) override {}
+  void fenced(router::RequestKey, int) override {}
+  void goesAway(ServerId) override {}
+  void probeEnded(ServerId, Outcome, Duration, std::optional<LoadReport>) override {}
+  void seatAnswered(router::RequestKey, ServerId, bool) override {}
+};
+
 class EndingsTest : public SteppedTest {
  protected:
   bool over() {
@@ -231,16 +243,7 @@
   net::Loop& on = loop;
   http1::ClientOptions options;
   options.maxConnections = 1;
-  struct NoSink final : engines::Sink {
-    void readEnded(router::CallKey, std::string, double, std::optional<LoadReport>) override {}
-    void token(router::CallKey, std::uint32_t, std::string) override {}
-    void callEnded(router::CallKey, Outcome, double, std::optional<LoadReport>, const std::string&,
-                   recovery::Ending) override {}
-    void fenced(router::RequestKey, int) override {}
-    void goesAway(ServerId) override {}
-    void probeEnded(ServerId, Outcome, Duration, std::optional<LoadReport>) override {}
-    void seatAnswered(router::RequestKey, ServerId, bool) override {}
-  } sink;
+  IgnoringSink sink;
   Engines engines(on, options, sink);
   const Configuration c = configurationOf(file());
   engines.update(*readTargets(c.known, c.names, net::WallClock(now(), 0)));
@@ -424,6 +427,52 @@
   EXPECT_TRUE(refused->has("Retry-After"));
 }
 
+// A request whose last bytes are with the kernel has been taken.
+TEST_F(EndingsTest, ARequestThatTheKernelHoldsIsReadBeforeItsConnectionIsEvicted) {
+  http1::ServerOptions options;
+  options.maxConnections = 1;
+  http1::Server server(loop, {}, options, [](const std::shared_ptr<http1::Exchange>& exchange) {
+    exchange->respond(200, "", "", true);
+  });
+  RawSocket pieces, another;
+  ASSERT_TRUE(pieces.connect(server.port()));
+  pieces.send("GET / HTTP/1.1\r\n");
+  settle();
+  ASSERT_TRUE(another.connect(server.port()));  // the node hears of it first
+  pieces.send("\r\n");
+  settle();
+  EXPECT_EQ(pieces.receive().substr(0, 12), "HTTP/1.1 200");
+}
+
+// What an engine is told is true at the write, not at the start of the iteration that came to it.
+TEST_F(EndingsTest, ATimeToldCountsWhatTheIterationHasTakenSoFar) {
+  IgnoringSink sink;
+  Engines engines(loop, {}, sink);
+  const Configuration c = configurationOf(file());
+  engines.update(*readTargets(c.known, c.names, net::WallClock(now(), 0)));
+  auto work = std::make_shared<router::Work>();
+  work->target = "/v1/chat/completions?x=1";
+  work->prompt = "{}";
+  engines.start(router::StartRead{1, 1, "opens", 0, numberOf("r1"), Duration(2), Duration(2), work});
+  pass(0.2);  // its connection may be used again
+  loop.defer([&] {
+    holdUp(0.4);
+    engines.start(router::StartRead{2, 2, "held-up", 0, numberOf("r1"), Duration(2), Duration(2), work});
+  });
+  settle();
+  EXPECT_EQ(reader.peers.size(), 1U);
+  ASSERT_EQ(budgets(reader).size(), 2U);
+  EXPECT_LE(budgets(reader)[1], 1600);
+}
+
+TEST_F(EndingsTest, AKnownListThatCannotBeReadLeavesRequestsToBeRefusedInTime) {
+  discovery.listener.close();
+  start([](Json& json) { json["known"] = {{"index", "x"}, {"endpoints", 5}}; });
+  const auto refused = asks(ask("no-list"));
+  pass(1.5);
+  EXPECT_EQ(statusOf(refused), 503);
+}
+
 // A replacement may come up where the engine that it replaces has been.
 TEST_F(EndingsTest, ConnectionsToAnAddressThatAnotherEngineTookOverAreKept) {
   start();
--- a/tests/stepped_time.h
+++ b/tests/stepped_time.h
@@ -156,6 +156,8 @@
       settle();
     }
   }
+  // The machine stands still in the middle of an iteration.
+  void holdUp(double seconds) { *time_ = now() + Duration(seconds); }
   // Lets time go by until it is so; false where it is not within the time.
   bool within(double seconds, const std::function<bool()>& done) {
     const Instant end = now() + Duration(seconds);
