Evicted connections are read first, times told are true at the write, a node always hears a first list

Server::makeRoom reads what the kernel holds of the connection that it has chosen; where that is a request it is answered and another one is chosen, as many times as there are connections. attemptHead counts by Loop::exactNow (the clock itself), so that a long iteration or a hold-up before the write shortens what an engine is told. Node::takeList gives the core an empty first list where the known one cannot be read.

--- a/src/http1/server.cpp
+++ b/src/http1/server.cpp
@@ -59,8 +59,22 @@
 }
 
 // Closes a connection that is ended already, else the one that has gone longest without a request; those that
-// never had one go first.
+// never had one go first. What the kernel holds of a request is read before its connection is chosen for
+// good.
 bool Server::makeRoom() {
+  for (std::size_t tries = connections_.size(); tries > 0; --tries) {
+    ServerConnection* const victim = evictable();
+    if (victim == nullptr) return false;
+    if (victim->readWaiting()) continue;
+    if (*victim->dropped_) return true;  // its client had left
+    ++counts_.evicted;
+    victim->close();
+    return true;
+  }
+  return false;
+}
+
+ServerConnection* Server::evictable() const {
   ServerConnection* victim = nullptr;
   for (const auto& c : connections_) {
     const ServerPhase phase = c->life_.phase();
@@ -72,10 +86,7 @@
     };
     if (victim == nullptr || rank(*c) < rank(*victim)) victim = c.get();
   }
-  if (victim == nullptr) return false;
-  ++counts_.evicted;
-  victim->close();
-  return true;
+  return victim;
 }
 
 // What is done to one connection may close it or others: they are dropped from the list at once, but live on
--- a/src/http1/server.h
+++ b/src/http1/server.h
@@ -85,6 +85,7 @@
   using Connections = std::list<std::unique_ptr<ServerConnection>>;
   void accept(int fd);
   bool makeRoom();
+  ServerConnection* evictable() const;
   template <class Step>
   void forEachConnection(const Step& step);
   void sweep();
--- a/src/http1/server_connection.cpp
+++ b/src/http1/server_connection.cpp
@@ -78,6 +78,14 @@
     exchange_->onPaused(true);
 }
 
+bool ServerConnection::readWaiting() {
+  const bool mayAsk = life_.resting() || life_.phase() == ServerPhase::kReceiving;
+  if (!mayAsk || !connection_.connected()) return false;
+  const std::uint64_t before = served_;
+  connection_.poll();
+  return served_ != before;
+}
+
 void ServerConnection::endUnlessAsked() {
   if (life_.resting() && connection_.connected()) connection_.poll();
   if (life_.resting()) handleEvent(ServerEvent::kTimedOut);
@@ -163,6 +171,7 @@
   keep_ = exchange_->request.keepAlive;
   parser_.next();
   asked_ = true;
+  ++served_;
   const std::shared_ptr<Exchange> held = exchange_;
   server_.handler_(held);
 }
--- a/src/http1/server_connection.h
+++ b/src/http1/server_connection.h
@@ -31,6 +31,8 @@
 
   void close();  // at once; its server drops it
   void drain() { handleEvent(ServerEvent::kDrain); }
+  // Reads what the kernel holds. True where that was the end of a request, which is answered now.
+  bool readWaiting();
   // A request that the kernel holds already is read and answered; a connection without one is ended.
   void endUnlessAsked();
   const ServerLife& life() const { return life_; }
@@ -94,7 +96,7 @@
   Instant since_;  // when its phase began
   Instant progressAt_{};
   std::size_t lastPending_ = 0;
-  std::uint64_t discarded_ = 0;
+  std::uint64_t discarded_ = 0, served_ = 0;
 };
 
 }  // namespace gannetcourse::http1
--- a/src/net/loop.h
+++ b/src/net/loop.h
@@ -54,6 +54,8 @@
 
   // The time at the start of this iteration.
   Instant now() const { return now_; }
+  // The time at this moment: for what is told to others.
+  Instant exactNow() const { return clock_(); }
 
   // For reading and writing. Where the kernel has no memory for it just now it is tried again until it has.
   void watch(int fd, Watcher* watcher);
--- a/src/platform/engines.cpp
+++ b/src/platform/engines.cpp
@@ -32,7 +32,7 @@
 http1::Client::HeadMaker attemptHead(net::Loop& loop, const net::Endpoint& to, const std::string& id,
                                      Duration waits, const std::shared_ptr<const router::Work>& work) {
   return [&loop, to, id, until = loop.now() + waits, work] {
-    const double leftMs = std::floor((until - loop.now()).count() * 1000);
+    const double leftMs = std::floor((until - loop.exactNow()).count() * 1000);
     const auto budget = static_cast<std::int64_t>(std::max(1.0, leftMs));
     return headOf("POST", work->target, to,
                   "X-Call-Id: " + id + "\r\nX-Budget-Ms: " + std::to_string(budget) +
--- a/src/platform/node.cpp
+++ b/src/platform/node.cpp
@@ -91,8 +91,10 @@
 }
 
 void Node::takeList(const Json& object, bool saved) {
-  const auto list = readTargets(object, configuration_.names, clock_);
-  if (!list) return missed("an object of the watch cannot be read");
+  auto list = readTargets(object, configuration_.names, clock_);
+  if (!list) missed(saved ? "the known list cannot be read" : "an object of the watch cannot be read");
+  if (!list && !saved) return;
+  if (!list) list.emplace();  // the core has to hear a first list, be it an empty one
   if (version_.look(list->index, list->full || saved, loop_.now()) == ListVersion::Verdict::kAskWhole)
     return watch_->askWhole();
   if (watch_) watch_->reached(list->index);
