--- a/tests/stream_endings_test.cpp
+++ b/tests/stream_endings_test.cpp
@@ -311,5 +311,17 @@
   EXPECT_TRUE(owner.closed);
 }
 
+// All events of a stream go on, also a last one that its end has cut short of its empty line.
+TEST_F(StreamEndingsTest, ALastEventWithoutItsEmptyLineIsPassedOn) {
+  writer.script = [](Peer& peer, const http1::Request& request) {
+    if (!released(peer, request))
+      peer.send(kStreamHead + chunkOf(eventOf("a")) + chunkOf("data: [DONE]\n") + "0\r\n\r\n");
+  };
+  start();
+  const auto peer = asks(ask("cut-short"));
+  ASSERT_TRUE(within(1, [&] { return peer->has("0\r\n\r\n"); }));
+  EXPECT_TRUE(peer->has("data: [DONE]\n"));
+}
+
 }  // namespace
 }  // namespace gannetcourse::platform
--- a/tests/system_calls_test.cpp
+++ b/tests/system_calls_test.cpp
@@ -2,6 +2,7 @@
 // engine that is blamed for it.
 #include <cerrno>
 
+#include "discovery/engine_list.h"
 #include "fault_shim.h"
 #include "http1/client.h"
 #include "stepped_time.h"
@@ -148,5 +149,37 @@
   }
 }
 
+// A list that was saved whole stays, whatever fails as the next one is saved; what fails is counted.
+TEST_F(SystemCallsTest, ASavedListIsReplacedByAWholeOneOrNotAtAll) {
+  const auto path =
+      std::filesystem::temp_directory_path() / ("gannetcourse-saved-" + std::to_string(getpid()));
+  const auto saved = [&] {
+    std::stringstream text;
+    text << std::ifstream(path).rdbuf();
+    return text.str();
+  };
+  const struct {
+    FaultyCall call;
+    int error;
+  } kFaults[] = {{FaultyCall::kWrite, ENOSPC}, {FaultyCall::kSync, EIO}, {FaultyCall::kRename, EACCES}};
+  std::ofstream(path) << "before";
+  for (const auto& fault : kFaults) {
+    fail(fault.call, fault.error);
+    std::uint64_t failures = 0;
+    {
+      discovery::SavedList list(path);
+      list.save("after, and longer than before");
+      for (int i = 0; i < 2000 && (failures = list.failures()) == 0; ++i) usleep(1000);
+    }
+    heal();
+    EXPECT_EQ(failures, 1U) << fault.error;
+    EXPECT_EQ(saved(), "before") << fault.error;
+  }
+  { discovery::SavedList(path).save("after"); }
+  EXPECT_EQ(saved(), "after");
+  std::filesystem::remove(path);
+  std::filesystem::remove(path.string() + ".new");
+}
+
 }  // namespace
 }  // namespace gannetcourse::platform
