--- a/src/discovery/engine_list.cpp
+++ b/src/discovery/engine_list.cpp
@@ -1,10 +1,13 @@
 #include "discovery/engine_list.h"
 
+#include <fcntl.h>
+#include <unistd.h>
+
 #include <algorithm>
 #include <atomic>
+#include <cerrno>
 #include <condition_variable>
 #include <cstdio>
-#include <fstream>
 #include <mutex>
 #include <set>
 #include <thread>
@@ -150,16 +153,28 @@
     }
   }
 
-  // A whole file or none: written beside, then put in place.
+  // A whole file or none: written beside, on the disk, then put in place.
   void write(const std::string& text) {
     const std::string beside = path_ + ".new";
-    bool good = false;
-    {
-      std::ofstream file(beside, std::ios::trunc);
-      file << text << std::flush;
-      good = file.good();
+    if (!writeWhole(beside, text) || std::rename(beside.c_str(), path_.c_str()) != 0) ++failures_;
+  }
+
+  static bool writeWhole(const std::string& path, const std::string& text) {
+    constexpr int kReadableByAll = 0644;
+    const int fd = ::open(path.c_str(), O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, kReadableByAll);
+    if (fd < 0) return false;
+    const bool written = writeAll(fd, text) && ::fsync(fd) == 0;
+    return ::close(fd) == 0 && written;
+  }
+
+  static bool writeAll(int fd, std::string_view bytes) {
+    while (!bytes.empty()) {
+      const auto written = ::write(fd, bytes.data(), bytes.size());
+      if (written < 0 && errno == EINTR) continue;
+      if (written < 0) return false;
+      bytes.remove_prefix(static_cast<std::size_t>(written));
     }
-    if (!good || std::rename(beside.c_str(), path_.c_str()) != 0) ++failures_;
+    return true;
   }
 
   std::string path_;
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -123,6 +123,8 @@
   log("discovery", "info",
       "list version " + std::to_string(list.version) + ": " + std::to_string(list.engines.size()) +
           " entries, " + std::to_string(merged_.engines().size()) + " engines in all");
+  if (saved_.failures() > std::exchange(savedFailures_, saved_.failures()))
+    log("discovery", "warn", "the list could not be saved: " + settings_.savedFleet);
   saved_.save(discovery::formatFleet({ServerList::Scope::kFull, list.version, merged_.engines()}));
 }
 
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -76,6 +76,7 @@
   fronts::Health health_;
   discovery::Merged merged_;
   discovery::SavedList saved_;
+  std::uint64_t savedFailures_ = 0;  // of which the log has been told
   std::unique_ptr<discovery::RegistryWatch> registry_;
   std::function<void()> drained_;
 };
--- a/src/platform/engines.cpp
+++ b/src/platform/engines.cpp
@@ -94,7 +94,7 @@
     bool whole = false;
     const bool good = events_.take(bytes, [&](std::string event) {
       whole = true;
-      if (!over) owner_.sink_.token(key_, next_++, std::move(event));
+      passOn(std::move(event));
     });
     if (!events_.midway()) {
       eventSince_.reset();
@@ -112,7 +112,10 @@
     if (how == http1::End::kSpoilt) return finish(outcomeOf(how), why, recovery::Ending::kCalledOff);
     if (how != http1::End::kWhole) return finish(outcomeOf(how), why);
     if (streams_) {
-      const bool whole = events_.finish();
+      const bool whole = events_.finish([this](std::string event) {
+        if (events_.ended()) passOn(std::move(event));
+      });
+      if (over) return;
       return finish(whole ? Outcome::kOk : Outcome::kError,
                     whole ? "tokens " + std::to_string(static_cast<std::uint64_t>(events_.writtenTokens()))
                           : "its stream ended before its last event");
@@ -120,6 +123,10 @@
     finish(outcomeOf(status_, notRun_, reads_), statusText());
   }
 
+  void passOn(std::string event) {
+    if (!over) owner_.sink_.token(key_, next_++, std::move(event));
+  }
+
   // Gives it up: its connection has no further use.
   void giveUp(Outcome outcome, const char* why) {
     owner_.client_.cancel(call);
@@ -296,8 +303,6 @@
                                 std::shared_ptr<const std::string>(work, &work->prompt), attempt);
 }
 
-void Engines::ended(router::CallKey call) { calls_.erase(call); }
-
 void Engines::callOff(router::CallKey call) {
   const auto node = calls_.extract(call);
   if (!node.empty()) node.mapped()->abandon();
--- a/src/platform/engines.h
+++ b/src/platform/engines.h
@@ -70,7 +70,7 @@
   std::set<net::Endpoint> servingAddresses() const;
   void begin(router::CallKey call, ServerId engine, const std::string& id, Duration waits,
              const std::shared_ptr<const router::Work>& work, bool reads);
-  void ended(router::CallKey call);
+  void ended(router::CallKey call) { calls_.erase(call); }
   void heardFrom(ServerId engine);
   void release(const std::shared_ptr<Release>& what);
   void askToRelease(const std::shared_ptr<Release>& what, ServerId engine);
--- a/src/platform/events.cpp
+++ b/src/platform/events.cpp
@@ -118,9 +118,9 @@
   if (comment.substr(0, kReport.size()) == kReport) load_ = readLoadReport(comment.substr(kReport.size()));
 }
 
-bool EventStream::finish() {
+bool EventStream::finish(const std::function<void(std::string event)>& tell) {
   const std::string rest = std::exchange(rest_, {});
-  return takeEvent(rest, [](const std::string&) {}) && ended_;
+  return takeEvent(rest, tell) && ended_;
 }
 
 }  // namespace gannetcourse::platform
--- a/src/platform/events.h
+++ b/src/platform/events.h
@@ -15,8 +15,9 @@
   // Takes bytes and calls `tell` with each whole event, as it came. A comment is told to nobody; a load
   // report in one is kept. False where the bytes are no events.
   bool take(std::string_view bytes, const std::function<void(std::string event)>& tell);
-  // No more comes. False where the stream is not whole: its last event has not come.
-  bool finish();
+  // No more comes. Tells an event that has come but for its empty line. False where the stream is not whole:
+  // its last event has not come.
+  bool finish(const std::function<void(std::string event)>& tell);
   bool midway() const { return !rest_.empty(); }
   bool ended() const { return ended_; }  // its last event has come
   double keptTokens() const { return kept_; }
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -398,7 +398,7 @@
     for (std::size_t i = 0; i < bytes.size(); i += step)
       ASSERT_TRUE(
           stream.take(std::string_view(bytes).substr(i, step), [&](const std::string& e) { told += e; }));
-    EXPECT_TRUE(stream.finish());
+    EXPECT_TRUE(stream.finish([](const std::string&) {}));
     EXPECT_EQ(told.find(": X-Load"), std::string::npos);
     EXPECT_EQ(told.substr(0, 10), eventOf("a").substr(0, 10));
     EXPECT_DOUBLE_EQ(stream.keptTokens(), 4096);
@@ -406,7 +406,7 @@
   }
   EventStream unfinished;
   EXPECT_TRUE(unfinished.take(eventOf("a"), [](const std::string&) {}));
-  EXPECT_FALSE(unfinished.finish());
+  EXPECT_FALSE(unfinished.finish([](const std::string&) {}));
 }
 
 }  // namespace
