--- a/tests/stepped_time.h
+++ b/tests/stepped_time.h
@@ -156,6 +156,8 @@
       settle();
     }
   }
+  // What was sent before has been delivered, though no event has told of it.
+  void deliver() { barrier_.pass(); }
   // The machine stands still in the middle of an iteration.
   void holdUp(double seconds) { *time_ = now() + Duration(seconds); }
   // Lets time go by until it is so; false where it is not within the time.
