--- a/tests/system_calls_test.cpp
+++ b/tests/system_calls_test.cpp
@@ -57,6 +57,17 @@
   EXPECT_EQ(rule(FaultyCall::kWatch).failed, 3U);
 }
 
+// A process may start in just such a moment.
+TEST_F(SystemCallsTest, ALoopThatCannotWatchItsWakeUpAtOnceHearsPostsLater) {
+  fail(FaultyCall::kWatch, ENOMEM, 3);
+  net::Loop late;
+  bool heard = false;
+  late.post([&] { heard = true; });
+  for (int i = 0; i < 2000 && !heard; ++i) late.step(Duration(0.01));
+  EXPECT_TRUE(heard);
+  EXPECT_EQ(rule(FaultyCall::kWatch).failed, 3U);
+}
+
 TEST_F(SystemCallsTest, ACallWhoseConnectFailsAtOnceMayBeCancelledLater) {
   http1::Client client(loop, {});
   const auto sink = std::make_shared<CountingSink>();
