--- a/soak/audit.py
+++ b/soak/audit.py
@@ -135,6 +135,13 @@
                     yield f"drain: {e['id']} sent by {e['pair']} {e['t'] - since:.3f} s after it was told"
 
     # ---- Rule 5 ----
+    @staticmethod
+    def out_until(began, what, end):
+        """When an attempt was over, and `end` where it was still out then: its engine notes the close a little later
+        than another one the release."""
+        over = next((e["t"] for e in what["ended"] if e["who"] == began["who"] and e["t"] >= began["t"]), end)
+        return min(over, end)
+
     def pins(self):
         for request_id, ask, what in self.asked():
             if self.node_killed(ask["node"], ask["t"] - SLACK, ask["t"] + 15):
@@ -142,9 +149,8 @@
             for held in what["held"]:
                 free = min((e["t"] for e in what["released"] + what["took"] if e["t"] >= held["t"]), default=None)
                 end = free if free is not None else self.events[-1]["t"]
-                out = [b["t"] for b in what["began"] if held["t"] <= b["t"] <= end]
-                ends = [e["t"] for e in what["ended"] if held["t"] <= e["t"] <= end]
-                since = max([held["t"], *out, *ends])
+                since = max([held["t"], *(self.out_until(b, what, end) for b in what["began"]
+                                          if held["t"] <= b["t"] <= end)])
                 # Calls that cannot come up let time run on; paths in trouble are not judged here.
                 calm = not any(held["t"] - 5 < t < end + 1 for times in self.troubled_engine.values() for t in times)
                 faulted = any(held["t"] - 3 < t < end for t in self.of_node[ask["node"]]["system_calls"])
--- a/tests/soak_audit_test.py
+++ b/tests/soak_audit_test.py
@@ -71,6 +71,15 @@
         event(11.01, "w2", "ended", id="a", role="decode", whole=True)]
 
 
+def released_as_an_attempt_ends():
+    """A writer has it for longer than the limit, and the release is noted before the end of its attempt."""
+    return without(clean(), "took", "started", "ended", "answered") + [
+        event(10.1, "r0", "ended", id="a", role="prefill", whole=True),
+        event(12.001, "w0", "released", id="a"),
+        event(12.002, "w0", "ended", id="a", role="decode", whole=False),
+        event(12.0, "c0", "answered", id="a", status=502)]
+
+
 def judge(events, log=""):
     with tempfile.TemporaryDirectory() as folder:
         lines = "".join(json.dumps(e) + "\n" for e in events)
@@ -88,6 +97,7 @@
     for wanted, log in (("invariant: n0", 'violations=2,repeat:2 open=0'), ("crash: n0", "terminate called after")):
         if not any(line.startswith(wanted) for line in judge(clean(), log)):
             faults.append(f"not found: '{wanted}'")
+    faults += [f"an attempt that is out stops the clock: {line}" for line in judge(released_as_an_attempt_ends())]
     killed = judge(without(clean(), "started", "answered") + [event(10.5, "soak", "sigkill", node="n0")])
     if killed:
         faults.append(f"a killed node owes nothing: {killed}")
