Tests without discovery keep its port: a closed one came to be another test's, and was dialled

Seen: the new stepped tests, ten processes at once, failed 4 times in 900: "reader.peers.size() which is 3, 1 wanted", "asked.size() which is 5, 4 wanted". Cause: two of them closed discovery's listener; the kernel gave its port to a listener of another test process, which the node of the first kept dialling. The listener now refuses, as the fixture has it, and keeps its port.

--- a/tests/endings_test.cpp
+++ b/tests/endings_test.cpp
@@ -418,7 +418,7 @@
 // What discovery has told counts as told after 6 s, and a node that is not ready after 30 s has failed to
 // start.
 TEST_F(EndingsTest, ANodeWithoutAnyListIsReadyInTimeAndRefuses) {
-  discovery.listener.close();
+  discovery.listener.refuse(true);
   start([](Json& json) { json.erase("known"); });
   pass(3);
   EXPECT_EQ(statusOf(asks("GET /-/ready HTTP/1.1\r\n\r\n")), 503);
@@ -485,7 +485,7 @@
 }
 
 TEST_F(EndingsTest, AKnownListThatCannotBeReadLeavesRequestsToBeRefusedInTime) {
-  discovery.listener.close();
+  discovery.listener.refuse(true);
   start([](Json& json) { json["known"] = {{"index", "x"}, {"endpoints", 5}}; });
   const auto refused = asks(ask("no-list"));
   pass(1.5);
