--- a/review/common/deployment.py
+++ b/review/common/deployment.py
@@ -160,8 +160,8 @@
             writer.write(wire.chunk(self.encode(listed, True)))
             self.watches.add(writer)
             await reader.read()
-        except (asyncio.IncompleteReadError, ConnectionError):
-            pass
+        except (asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError):
+            pass  # cancelled at the end of the run
         finally:
             self.watches.discard(writer)
             writer.close()
--- a/review/common/engines.py
+++ b/review/common/engines.py
@@ -51,8 +51,8 @@
                     writer.write(b"HTTP/1.1 204 No Content\r\n\r\n")
                 else:
                     await self.run(request, reader, writer)
-        except (asyncio.IncompleteReadError, ConnectionError):
-            pass
+        except (asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError):
+            pass  # cancelled at the end of the run
         finally:
             writer.close()
 
