--- a/review/common/deployment.py
+++ b/review/common/deployment.py
@@ -3,6 +3,7 @@
 
 import asyncio
 import json
+import logging
 import os
 import pathlib
 import shutil
@@ -260,6 +261,7 @@
 def run_case(folder, play, judge):
     """Plays a case and judges it. Exit code: 1 if the rule was broken, 0 if it held, 2 if the case could not run."""
     record = Record(pathlib.Path(folder, "record.txt"))
+    logging.getLogger("asyncio").setLevel(logging.CRITICAL)  # it warns of writes to connections that a node has closed
     try:
         return judge(record, *asyncio.run(play(record)))
     except Exception as error:  # whatever goes wrong here tells nothing of the rule
