The limit of a stream runs from its last event: comments do not restart it

Cause: EngineAttempt::isStalled measured from the last bytes received (recordActivity), not from the last event.

Change: the limits (4 s, 2 s after [DONE]) run from the last event passed on; what follows [DONE] does not restart them. A stream given up while bytes come counts as an error ("sends no more events"), as the engine is not silent.

Tests, run before the change: ClosesStreamWhenOnlyCommentsFollowAnEvent and ...FollowTheLastEvent failed (30 s, where the test stops; allowed 5 s) for readable and unreadable load reports and for empty lines; now they pass. Plain comments without an empty line passed before as well.

--- a/src/platform/engine_attempt.cpp
+++ b/src/platform/engine_attempt.cpp
@@ -5,9 +5,9 @@
 namespace gannetcourse::platform {
 namespace {
 
-// A stream that receives no bytes for this long is treated as broken, because its client must not wait longer
+// A stream that receives no event for this long is treated as broken, because its client must not wait longer
 // than 5 s after the last event.
-const Duration kSilenceLimit{4};
+const Duration kEventGapLimit{4};
 const Duration kEventTimeout{2};         // limit from an event's first byte to its last
 const Duration kEndTimeout{2};           // limit for the end of the stream after the [DONE] event
 const Duration kStatusBodyTimeout{0.1};  // limit for the body if the status alone ends the attempt
@@ -22,7 +22,8 @@
       key_(key),
       engine_(engine),
       response_(kind),
-      lastActivityAt_(loop.now()) {}
+      lastBytesAt_(loop.now()),
+      lastEventAt_(loop.now()) {}
 
 void EngineAttempt::cancel() {
   ended_ = true;
@@ -31,15 +32,15 @@
 
 void EngineAttempt::pause(bool paused) {
   paused_ = paused;
-  lastActivityAt_ = loop_.now();
-  response_.restartPartialEvent(lastActivityAt_);
+  lastEventAt_ = loop_.now();
+  response_.restartPartialEvent(lastEventAt_);
   client_.pauseReading(call_, paused);
 }
 
 bool EngineAttempt::isStalled(Instant now) const {
   if (paused_ || !streamHasBegun()) return false;
-  const Duration limit = response_.streamIsComplete() ? kEndTimeout : kSilenceLimit;
-  return now - lastActivityAt_ > limit || eventIsOverdue(now);
+  const Duration limit = response_.streamIsComplete() ? kEndTimeout : kEventGapLimit;
+  return now - lastEventAt_ > limit || eventIsOverdue(now);
 }
 
 bool EngineAttempt::eventIsOverdue(Instant now) const {
@@ -50,6 +51,8 @@
 void EngineAttempt::abandonStalled(Instant now) {
   if (eventIsOverdue(now)) {
     abandon(Outcome::kError, "an event does not end");
+  } else if (lastBytesAt_ > lastEventAt_) {
+    abandon(Outcome::kError, "sends no more events");
   } else {
     abandon(Outcome::kReset, "silent");
   }
@@ -66,7 +69,7 @@
   const std::shared_ptr<EngineAttempt> self = shared_from_this();  // onEvent() may cancel and release it
   if (ended_) return;
   const bool readable =
-      response_.onBody(bytes, lastActivityAt_, [this](std::string event) { deliverEvent(std::move(event)); });
+      response_.onBody(bytes, lastBytesAt_, [this](std::string event) { deliverEvent(std::move(event)); });
   if (!readable && !ended_) abandon(Outcome::kError, "its events cannot be read");
 }
 
@@ -89,12 +92,15 @@
 }
 
 void EngineAttempt::recordActivity() {
-  lastActivityAt_ = loop_.now();
+  lastBytesAt_ = loop_.now();
   owner_.onEngineActivity(engine_);
 }
 
 void EngineAttempt::deliverEvent(std::string event) {
-  if (!ended_) owner_.onEvent(key_, nextEvent_++, std::move(event));
+  if (ended_) return;
+  if (!lastEventReceived_) lastEventAt_ = loop_.now();
+  lastEventReceived_ = response_.streamIsComplete();
+  owner_.onEvent(key_, nextEvent_++, std::move(event));
 }
 
 void EngineAttempt::abandon(Outcome outcome, const std::string& reason) {
--- a/src/platform/engine_attempt.h
+++ b/src/platform/engine_attempt.h
@@ -46,8 +46,8 @@
   /// for stalled streams restart each time, because the engine does not cause the pause.
   void pause(bool paused);
 
-  /// Whether the stream is stalled: after its first event, the engine has sent nothing for too long, or an
-  /// event has been incomplete for too long. Always false while reading is paused.
+  /// Whether the stream is stalled: after its first event, no event has been received for too long, or an
+  /// event has been incomplete for too long. Comments are not events. Always false while reading is paused.
   bool isStalled(Instant now) const;
   /// Cancels the call of a stalled attempt and reports the result.
   void abandonStalled(Instant now);
@@ -73,8 +73,10 @@
   const EngineId engine_;
   http1::CallId call_ = 0;
   EngineResponseDecoder response_;
-  Instant lastActivityAt_;
+  Instant lastBytesAt_;  // when bytes of the response were last received
+  Instant lastEventAt_;  // when an event was last received, or reading was last paused or resumed
   bool ended_ = false, paused_ = false;
+  bool lastEventReceived_ = false;  // the [DONE] event; events behind it do not restart the time limit
   std::uint32_t nextEvent_ = 0;
 };
 
