A stream that pauses for 4 to 5 s goes on: its limit is the protocol's, with a timer of its own

Cause: the limit was 4 s, because it was looked at only every 0.5 s.

Change: the limit is 5 s + 0.05 s (the protocol's extension of each limit) - 0.15 s (a stall of the machine, as the terms allow) = 4.9 s, kept by one timer for each stream, which is set again when it runs and events have come. A pause of reading now moves the limit by its length and no longer starts it anew.

--- a/src/platform/engine_attempt.cpp
+++ b/src/platform/engine_attempt.cpp
@@ -5,9 +5,13 @@
 namespace gannetcourse::platform {
 namespace {
 
-// A stream that receives no event for this long is treated as broken, because its client must not wait longer
-// than 5 s after the last event.
-const Duration kEventGapLimit{4};
+// The protocol's limits: a client must not wait longer than kMaxWaitAfterEvent after the last event; each
+// limit is extended by kLimitExtension.
+const Duration kMaxWaitAfterEvent{5};
+const Duration kLimitExtension{0.05};
+const Duration kStallAllowance{0.15};  // longest stall of the machine between a timer and the close it causes
+// A stream that receives no event for this long is treated as broken.
+const Duration kEventGapLimit = kMaxWaitAfterEvent + kLimitExtension - kStallAllowance;
 const Duration kEventTimeout{2};         // limit from an event's first byte to its last
 const Duration kEndTimeout{2};           // limit for the end of the stream after the [DONE] event
 const Duration kStatusBodyTimeout{0.1};  // limit for the body if the status alone ends the attempt
@@ -26,21 +30,46 @@
       lastEventAt_(loop.now()) {}
 
 void EngineAttempt::cancel() {
-  ended_ = true;
+  end();
   client_.cancel(call_);
 }
 
 void EngineAttempt::pause(bool paused) {
+  if (paused == paused_) return;
   paused_ = paused;
-  lastEventAt_ = loop_.now();
-  response_.restartPartialEvent(lastEventAt_);
+  const Instant now = loop_.now();
+  if (paused_) {
+    pausedAt_ = now;
+    loop_.cancelTimer(std::exchange(stallTimer_, 0));
+  } else {
+    lastEventAt_ += now - pausedAt_;
+    response_.restartPartialEvent(now);
+    if (nextEvent_ > 0) scheduleStallCheck();
+  }
   client_.pauseReading(call_, paused);
 }
 
-bool EngineAttempt::isStalled(Instant now) const {
-  if (paused_ || !streamHasBegun()) return false;
-  const Duration limit = response_.streamIsComplete() ? kEndTimeout : kEventGapLimit;
-  return now - lastEventAt_ > limit || eventIsOverdue(now);
+// ---- Stalled streams ----
+
+void EngineAttempt::scheduleStallCheck() {
+  if (stallTimer_ != 0) return;
+  stallTimer_ = loop_.runAt(lastEventAt_ + kEventGapLimit, [weak = weak_from_this()] {
+    const std::shared_ptr<EngineAttempt> self = weak.lock();
+    if (self) self->checkForStall();
+  });
+}
+
+void EngineAttempt::checkForStall() {
+  stallTimer_ = 0;
+  const bool stalled = loop_.now() >= lastEventAt_ + kEventGapLimit;
+  if (!stalled) return scheduleStallCheck();  // events have arrived since the timer was set
+  abandonStalled();
+}
+
+bool EngineAttempt::isOverdue(Instant now) const {
+  if (paused_ || nextEvent_ == 0) return false;
+  const bool endIsOverdue = response_.streamIsComplete() && now - lastEventAt_ > kEndTimeout;
+  return endIsOverdue || eventIsOverdue(now);
 }
 
 bool EngineAttempt::eventIsOverdue(Instant now) const {
@@ -48,8 +77,8 @@
   return since && now - *since > kEventTimeout;
 }
 
-void EngineAttempt::abandonStalled(Instant now) {
-  if (eventIsOverdue(now)) {
+void EngineAttempt::abandonStalled() {
+  if (eventIsOverdue(loop_.now())) {
     abandon(Outcome::kError, "an event does not end");
   } else if (lastBytesAt_ > lastEventAt_) {
     abandon(Outcome::kError, "sends no more events");
@@ -58,6 +87,8 @@
   }
 }
 
+// ---- The response ----
+
 void EngineAttempt::onHead(const http1::ResponseHead& head) {
   recordActivity();
   response_.onHead(head);
@@ -100,6 +131,7 @@
   if (ended_) return;
   if (!lastEventReceived_) lastEventAt_ = loop_.now();
   lastEventReceived_ = response_.streamIsComplete();
+  scheduleStallCheck();
   owner_.onEvent(key_, nextEvent_++, std::move(event));
 }
 
@@ -119,8 +151,13 @@
   });
 }
 
-void EngineAttempt::finish(const AttemptResult& result) {
+void EngineAttempt::end() {
   ended_ = true;
+  loop_.cancelTimer(std::exchange(stallTimer_, 0));
+}
+
+void EngineAttempt::finish(const AttemptResult& result) {
+  end();
   owner_.onAttemptEnded(key_, result);
 }
 
--- a/src/platform/engine_attempt.h
+++ b/src/platform/engine_attempt.h
@@ -41,16 +41,16 @@
   /// Cancels the call without a report to the owner and closes its connection.
   void cancel();
   /// Stops all reports to the owner without cancelling the call. For the owner's destructor.
-  void detach() { ended_ = true; }
-  /// Pauses or resumes reading, for flow control when the client reads too slowly. The time limits
-  /// for stalled streams restart each time, because the engine does not cause the pause.
+  void detach() { end(); }
+  /// Pauses or resumes reading, for flow control when the client reads too slowly. Time during which reading
+  /// is paused does not count towards the limits for stalled streams.
   void pause(bool paused);
 
-  /// Whether the stream is stalled: after its first event, no event has been received for too long, or an
-  /// event has been incomplete for too long. Comments are not events. Always false while reading is paused.
-  bool isStalled(Instant now) const;
+  /// Whether the stream's end after its last event, or the end of an event, is overdue. Always false while
+  /// reading is paused.
+  bool isOverdue(Instant now) const;
   /// Cancels the call of a stalled attempt and reports the result.
-  void abandonStalled(Instant now);
+  void abandonStalled();
 
   void onHead(const http1::ResponseHead& head) override;
   void onBody(std::string_view bytes) override;
@@ -58,13 +58,15 @@
 
  private:
   void recordActivity();
-  bool streamHasBegun() const { return response_.isStream() && nextEvent_ > 0; }
-  bool eventIsOverdue(Instant now) const;
   void deliverEvent(std::string event);
+  void scheduleStallCheck();
+  void checkForStall();
+  bool eventIsOverdue(Instant now) const;
   void abandon(Outcome outcome, const std::string& reason);
   void endAfterStatusBody();
   AttemptResult resultOfEnd(http1::CallResult result, const std::string& reason);
   void finish(const AttemptResult& result);
+  void end();
 
   net::Loop& loop_;
   http1::Client& client_;
@@ -74,7 +76,9 @@
   http1::CallId call_ = 0;
   EngineResponseDecoder response_;
   Instant lastBytesAt_;  // when bytes of the response were last received
-  Instant lastEventAt_;  // when an event was last received, or reading was last paused or resumed
+  Instant lastEventAt_;  // when an event was last received, plus the time for which reading was paused since
+  Instant pausedAt_{};
+  net::TimerId stallTimer_ = 0;  // 0 before the first event and while reading is paused
   bool ended_ = false, paused_ = false;
   bool lastEventReceived_ = false;  // the [DONE] event; events behind it do not restart the time limit
   std::uint32_t nextEvent_ = 0;
--- a/src/platform/engine_client.cpp
+++ b/src/platform/engine_client.cpp
@@ -177,20 +177,20 @@
 }
 
 void EngineClient::sweep() {
-  endStalledAttempts();
+  endOverdueAttempts();
   eraseRemovedEngines();
   sweepTimer_ = loop_.runAfter(kSweepInterval, [this] { sweep(); });
 }
 
-// Collects the stalled attempts first, because ending one may add, end or pause others in `attempts_`.
-void EngineClient::endStalledAttempts() {
+// Collects the overdue attempts first, because ending one may add, end or pause others in `attempts_`.
+void EngineClient::endOverdueAttempts() {
   const Instant now = loop_.now();
-  std::vector<std::shared_ptr<EngineAttempt>> stalled;
+  std::vector<std::shared_ptr<EngineAttempt>> overdue;
   for (const auto& [key, attempt] : attempts_) {
-    if (attempt->isStalled(now)) stalled.push_back(attempt);
+    if (attempt->isOverdue(now)) overdue.push_back(attempt);
   }
-  for (const auto& attempt : stalled) {
-    if (!attempt->hasEnded()) attempt->abandonStalled(now);
+  for (const auto& attempt : overdue) {
+    if (!attempt->hasEnded()) attempt->abandonStalled();
   }
 }
 
--- a/src/platform/engine_client.h
+++ b/src/platform/engine_client.h
@@ -80,7 +80,7 @@
   std::set<net::Endpoint> servingAddresses() const;
   void startAttempt(const AttemptStart& start);
   void sweep();
-  void endStalledAttempts();
+  void endOverdueAttempts();
   void eraseRemovedEngines();
   bool hasOpenAttempt(EngineId engine) const;
 
