A stream whose end follows its last event late is forwarded to its end

Callers saw: a stream whose last chunk came over 2 s after [DONE] was closed without it; a client with all events took it for broken. The protocol leaves 5 s after the last event, whichever event that is.

Cause: EngineAttempt's own limit of 2 s after [DONE] (kEndTimeout).

Change: that limit goes; the one of 4.9 s after the last event holds for the end as well. Test: CompletesStreamWhoseEndFollowsItsLastEventLate (4.8 s) failed before, passes now; a stream without its end is still closed in time (ClosesStreamWhenLastChunkIsMissingAfterLastEvent, ClosesStreamWhenOnlyCommentsFollowTheLastEvent).

--- a/src/platform/engine_attempt.cpp
+++ b/src/platform/engine_attempt.cpp
@@ -13,7 +13,6 @@
 // A stream that receives no event for this long is treated as broken.
 const Duration kEventGapLimit = kMaxWaitAfterEvent + kLimitExtension - kStallAllowance;
 const Duration kEventTimeout{2};         // limit from an event's first byte to its last
-const Duration kEndTimeout{2};           // limit for the end of the stream after the [DONE] event
 const Duration kStatusBodyTimeout{0.1};  // limit for the body if the status alone ends the attempt
 
 }  // namespace
@@ -68,8 +67,7 @@
 
 bool EngineAttempt::isOverdue(Instant now) const {
   if (paused_ || nextEvent_ == 0) return false;
-  const bool endIsOverdue = response_.streamIsComplete() && now - lastEventAt_ > kEndTimeout;
-  return endIsOverdue || eventIsOverdue(now);
+  return eventIsOverdue(now);
 }
 
 bool EngineAttempt::eventIsOverdue(Instant now) const {
--- a/src/platform/engine_attempt.h
+++ b/src/platform/engine_attempt.h
@@ -46,8 +46,7 @@
   /// is paused does not count towards the limits for stalled streams.
   void pause(bool paused);
 
-  /// Whether the stream's end after its last event, or the end of an event, is overdue. Always false while
-  /// reading is paused.
+  /// Whether an event has been incomplete for too long. Always false while reading is paused.
   bool isOverdue(Instant now) const;
   /// Cancels the call of a stalled attempt and reports the result.
   void abandonStalled();
--- a/tests/stream_limits_test.cpp
+++ b/tests/stream_limits_test.cpp
@@ -108,6 +108,16 @@
   EXPECT_GT((now() - lastEventAt).count(), kAllowedPause);
 }
 
+// The load report and the last chunk may follow the last event late.
+TEST_F(StreamLimitsTest, CompletesStreamWhoseEndFollowsItsLastEventLate) {
+  const auto peer = startStream(kStreamHead + chunkOf(eventOf("a") + kDone));
+  advance(kAllowedPause);
+  ASSERT_FALSE(peer->closed);
+  latestDecodePeer().send(chunkOf(kFillers[1]) + kLastChunk);
+  runUntilIdle();
+  EXPECT_TRUE(isComplete(*peer));
+}
+
 // ---- Responses before the first event: the request's deadline holds, whatever bytes arrive ----
 // Sends one piece every 0.2 s on the newest connection of `engine` until the client has its answer; returns
 // the elapsed time.
