A stream whose engine pauses within an event goes on: no limit of its own for half an event

Callers saw: a stream whose engine had written half an event and paused for over 2 s was cut off, though it went on inside the 5 s that the protocol leaves after the last event.

Cause: EngineAttempt::eventIsOverdue, 2 s from an event's first byte. The limit from the last whole event covers what it was for: an event that never ends is closed in time by it (ClosesStreamWhenAnEventNeverEnds, ...ACommentNeverEnds).

--- a/src/platform/engine_attempt.cpp
+++ b/src/platform/engine_attempt.cpp
@@ -12,7 +12,6 @@
 const Duration kStallAllowance{0.15};  // longest stall of the machine between a timer and the close it causes
 // A stream that receives no event for this long is treated as broken.
 const Duration kEventGapLimit = kMaxWaitAfterEvent + kLimitExtension - kStallAllowance;
-const Duration kEventTimeout{2};         // limit from an event's first byte to its last
 const Duration kStatusBodyTimeout{0.1};  // limit for the body if the status alone ends the attempt
 
 }  // namespace
@@ -42,7 +41,6 @@
     loop_.cancelTimer(std::exchange(stallTimer_, 0));
   } else {
     lastEventAt_ += now - pausedAt_;
-    response_.restartPartialEvent(now);
     if (nextEvent_ > 0) scheduleStallCheck();
   }
   client_.pauseReading(call_, paused);
@@ -51,7 +49,7 @@
 // ---- Stalled streams ----
 
 void EngineAttempt::scheduleStallCheck() {
-  if (stallTimer_ != 0) return;
+  if (stallTimer_ != 0 || paused_) return;
   stallTimer_ = loop_.runAt(lastEventAt_ + kEventGapLimit, [weak = weak_from_this()] {
     const std::shared_ptr<EngineAttempt> self = weak.lock();
     if (self) self->checkForStall();
@@ -65,20 +63,8 @@
   abandonStalled();
 }
 
-bool EngineAttempt::isOverdue(Instant now) const {
-  if (paused_ || nextEvent_ == 0) return false;
-  return eventIsOverdue(now);
-}
-
-bool EngineAttempt::eventIsOverdue(Instant now) const {
-  const std::optional<Instant> since = response_.partialEventSince();
-  return since && now - *since > kEventTimeout;
-}
-
 void EngineAttempt::abandonStalled() {
-  if (eventIsOverdue(loop_.now())) {
-    abandon(Outcome::kError, "an event does not end");
-  } else if (lastBytesAt_ > lastEventAt_) {
+  if (lastBytesAt_ > lastEventAt_) {
     abandon(Outcome::kError, "sends no more events");
   } else {
     abandon(Outcome::kReset, "silent");
@@ -98,7 +84,7 @@
   const std::shared_ptr<EngineAttempt> self = shared_from_this();  // onEvent() may cancel and release it
   if (ended_) return;
   const bool readable =
-      response_.onBody(bytes, lastBytesAt_, [this](std::string event) { deliverEvent(std::move(event)); });
+      response_.onBody(bytes, [this](std::string event) { deliverEvent(std::move(event)); });
   if (!readable && !ended_) abandon(Outcome::kError, "its events cannot be read");
 }
 
--- a/src/platform/engine_attempt.h
+++ b/src/platform/engine_attempt.h
@@ -1,5 +1,5 @@
-// One attempt at an engine: its HTTP call, the decoder of its response, and the time limits for stalled
-// streams.
+// One attempt at an engine: its HTTP call, the decoder of its response, and the time limit for a stalled
+// stream.
 #pragma once
 
 #include <cstdint>
@@ -36,21 +36,15 @@
 
   void setCall(http1::CallId call) { call_ = call; }
   EngineId engine() const { return engine_; }
-  bool hasEnded() const { return ended_; }
 
   /// Cancels the call without a report to the owner and closes its connection.
   void cancel();
   /// Stops all reports to the owner without cancelling the call. For the owner's destructor.
   void detach() { end(); }
   /// Pauses or resumes reading, for flow control when the client reads too slowly. Time during which reading
-  /// is paused does not count towards the limits for stalled streams.
+  /// is paused does not count towards the limit for a stalled stream.
   void pause(bool paused);
 
-  /// Whether an event has been incomplete for too long. Always false while reading is paused.
-  bool isOverdue(Instant now) const;
-  /// Cancels the call of a stalled attempt and reports the result.
-  void abandonStalled();
-
   void onHead(const http1::ResponseHead& head) override;
   void onBody(std::string_view bytes) override;
   void onEnd(http1::CallResult result, const std::string& reason) override;
@@ -60,7 +54,7 @@
   void deliverEvent(std::string event);
   void scheduleStallCheck();
   void checkForStall();
-  bool eventIsOverdue(Instant now) const;
+  void abandonStalled();
   void abandon(Outcome outcome, const std::string& reason);
   void endAfterStatusBody();
   AttemptResult resultOfEnd(http1::CallResult result, const std::string& reason);
--- a/src/platform/engine_client.cpp
+++ b/src/platform/engine_client.cpp
@@ -3,7 +3,6 @@
 #include <algorithm>
 #include <cmath>
 #include <utility>
-#include <vector>
 
 #include "platform/request_head.h"
 #include "platform/status_response_handler.h"
@@ -177,23 +176,10 @@
 }
 
 void EngineClient::sweep() {
-  endOverdueAttempts();
   eraseRemovedEngines();
   sweepTimer_ = loop_.runAfter(kSweepInterval, [this] { sweep(); });
 }
 
-// Collects the overdue attempts first, because ending one may add, end or pause others in `attempts_`.
-void EngineClient::endOverdueAttempts() {
-  const Instant now = loop_.now();
-  std::vector<std::shared_ptr<EngineAttempt>> overdue;
-  for (const auto& [key, attempt] : attempts_) {
-    if (attempt->isOverdue(now)) overdue.push_back(attempt);
-  }
-  for (const auto& attempt : overdue) {
-    if (!attempt->hasEnded()) attempt->abandonStalled();
-  }
-}
-
 std::map<EngineId, std::size_t> EngineClient::openCallsByEngine() const {
   std::map<EngineId, std::size_t> open;
   for (const auto& [key, attempt] : attempts_) ++open[attempt->engine()];
--- a/src/platform/engine_client.h
+++ b/src/platform/engine_client.h
@@ -80,7 +80,6 @@
   std::set<net::Endpoint> servingAddresses() const;
   void startAttempt(const AttemptStart& start);
   void sweep();
-  void endOverdueAttempts();
   void eraseRemovedEngines();
   bool hasOpenAttempt(EngineId engine) const;
 
--- a/src/platform/engine_response.cpp
+++ b/src/platform/engine_response.cpp
@@ -49,27 +49,12 @@
   isStream_ = status_ == kStatusOk && kind_ == AttemptKind::kDecode;
 }
 
-bool EngineResponseDecoder::onBody(std::string_view bytes, Instant now,
-                                   const EventStreamDecoder::EventHandler& onEvent) {
+bool EngineResponseDecoder::onBody(std::string_view bytes, const EventStreamDecoder::EventHandler& onEvent) {
   if (!isStream_) {
     if (body_.size() < kMaxBodyBytes) body_.append(bytes);
     return true;
   }
-  bool eventCompleted = false;
-  const bool readable = events_.feed(bytes, [&](std::string event) {
-    eventCompleted = true;
-    onEvent(std::move(event));
-  });
-  if (!events_.hasPartialEvent()) {
-    partialEventSince_.reset();
-  } else if (eventCompleted || !partialEventSince_) {
-    partialEventSince_ = now;
-  }
-  return readable;
-}
-
-void EngineResponseDecoder::restartPartialEvent(Instant now) {
-  if (partialEventSince_) partialEventSince_ = now;
+  return events_.feed(bytes, onEvent);
 }
 
 // A prefill that is answered with a 2xx status other than 202 may have run and left a state at the engine, so
--- a/src/platform/engine_response.h
+++ b/src/platform/engine_response.h
@@ -38,19 +38,15 @@
   explicit EngineResponseDecoder(AttemptKind kind) : kind_(kind) {}
 
   void onHead(const http1::ResponseHead& head);
-  /// Decodes body bytes received at `now` and calls `onEvent` for each complete event of a stream. Returns
-  /// false if the bytes are not valid events.
-  bool onBody(std::string_view bytes, Instant now, const EventStreamDecoder::EventHandler& onEvent);
+  /// Decodes body bytes and calls `onEvent` for each complete event of a stream. Returns false if the bytes
+  /// are not valid events.
+  bool onBody(std::string_view bytes, const EventStreamDecoder::EventHandler& onEvent);
 
   /// Whether the status alone determines the result: the body is not needed and may be missing.
   bool endedByStatus() const { return status_ != 0 && !hasBody(); }
   bool isStream() const { return isStream_; }
   /// Whether the stream's last event, [DONE], was received.
   bool streamIsComplete() const { return events_.isComplete(); }
-  /// When the first byte of the current incomplete event was received; empty if no event is incomplete.
-  std::optional<Instant> partialEventSince() const { return partialEventSince_; }
-  /// Sets partialEventSince() to `now` if an event is incomplete. Called when reading is paused or resumed.
-  void restartPartialEvent(Instant now);
 
   /// The result of a response that is not a stream, as determined by the status. The cached tokens of a
   /// successful prefill are taken from the body.
@@ -73,7 +69,6 @@
   // Body of a response that is not a stream. Once 4 KiB are stored, further bytes are ignored.
   std::string body_;
   EventStreamDecoder events_;
-  std::optional<Instant> partialEventSince_;
   std::optional<LoadReport> headLoadReport_;
 };
 
--- a/src/platform/event_stream.h
+++ b/src/platform/event_stream.h
@@ -24,8 +24,6 @@
   /// Returns false if the [DONE] event is missing or the last event is malformed.
   bool finish(const EventHandler& onEvent);
 
-  /// Whether an event was received in part but is not yet complete.
-  bool hasPartialEvent() const { return !partialEvent_.empty(); }
   /// Whether the last event, [DONE], was received.
   bool isComplete() const { return complete_; }
 
--- a/tests/stream_limits_test.cpp
+++ b/tests/stream_limits_test.cpp
@@ -118,6 +118,17 @@
   EXPECT_TRUE(isComplete(*peer));
 }
 
+// An engine may pause within an event, for example after half a line.
+TEST_F(StreamLimitsTest, ContinuesStreamThatPausesWithinAnEvent) {
+  const auto peer = startStream(kStreamHead + chunkOf(eventOf("a")) + chunkOf("data: {\"content\":"));
+  advance(kAllowedPause);
+  ASSERT_FALSE(peer->closed);
+  latestDecodePeer().send(chunkOf("\"b\"}\n\n") + chunkOf(kDone) + kLastChunk);
+  runUntilIdle();
+  EXPECT_TRUE(peer->hasReceived("\"b\""));
+  EXPECT_TRUE(isComplete(*peer));
+}
+
 // ---- Responses before the first event: the request's deadline holds, whatever bytes arrive ----
 // Sends one piece every 0.2 s on the newest connection of `engine` until the client has its answer; returns
 // the elapsed time.
