A stream whose engine pauses within a chunk goes on, and so does one whose events share a long chunk

Callers saw: a stream was cut off where a chunk took over 3 s, also when events arrived inside that chunk all the time; the protocol leaves 5 s after the last event and says nothing of chunks.

Cause: http1::ClientConnection fails a call whose head or chunk takes over partialMessageTimeout (3 s), whoever waits.

Change: a handler may say that it limits its body's time; then the client limits only the head. Streams say so: their limit is the request's deadline before the first event and 4.9 s after each event from then on.

--- a/src/http1/client.h
+++ b/src/http1/client.h
@@ -21,12 +21,13 @@
 
 /// Limits of a Client. Durations are in seconds.
 struct ClientOptions {
-  Limits limits;                      ///< Size limits of each response.
-  std::size_t maxConnections = 256;   ///< Maximum for all servers together.
-  Duration connectTimeout{0.25};      ///< Limit for establishing a connection.
-  Duration settleDelay{0.05};         ///< Wait after a response, to detect extra bytes before reuse.
-  Duration idleTimeout{7};            ///< Closes an idle connection, well before its server would.
-  Duration partialMessageTimeout{3};  ///< Limit for receiving one head or chunk; then kMalformed.
+  Limits limits;                     ///< Size limits of each response.
+  std::size_t maxConnections = 256;  ///< Maximum for all servers together.
+  Duration connectTimeout{0.25};     ///< Limit for establishing a connection.
+  Duration settleDelay{0.05};        ///< Wait after a response, to detect extra bytes before reuse.
+  Duration idleTimeout{7};           ///< Closes an idle connection, well before its server would.
+  /// Limit for receiving one head, or one chunk unless the handler limits the body; then kMalformed.
+  Duration partialMessageTimeout{3};
 };
 
 /// How a call ended.
@@ -48,6 +49,9 @@
   virtual void onBody(std::string_view bytes) = 0;
   /// `reason` is a short plain text for logs; empty for kComplete.
   virtual void onEnd(CallResult result, const std::string& reason) = 0;
+  /// Whether the handler itself limits how long the body may take, so that its chunks may take any time. Not
+  /// called before onHead() has returned.
+  virtual bool limitsBodyTime() const { return false; }
 };
 
 using CallId = std::uint64_t;  ///< 0 = none.
--- a/src/http1/client_connection.cpp
+++ b/src/http1/client_connection.cpp
@@ -31,6 +31,7 @@
   requestSent_ = false;
   sendDeferrals_ = 0;
   headOrChunkStartedAt_.reset();
+  headComplete_ = false;
   parser_ = std::make_unique<ResponseParser>(client_.options_.limits, parserCallbacks());
   if (connection_.isConnected()) sendRequest();
 }
@@ -38,6 +39,7 @@
 ResponseParser::Callbacks ClientConnection::parserCallbacks() {
   ResponseParser::Callbacks callbacks;
   callbacks.onHead = [this](const ResponseHead& head) {
+    headComplete_ = true;
     if (handler_) handler_->onHead(head);
   };
   callbacks.onBody = [this](std::string_view bytes) {
@@ -65,10 +67,15 @@
 void ClientConnection::checkTimeouts(Instant now) {
   if (state_.isIdle() && now - lastResponseAt_ > client_.options_.idleTimeout) return close();
   if (state_.phase() != ClientPhase::kCallInProgress || connection_.isSuspended()) return;
-  if (headOrChunkStartedAt_ && now - *headOrChunkStartedAt_ > client_.options_.partialMessageTimeout)
+  if (!headOrChunkStartedAt_ || handlerLimitsBody()) return;
+  if (now - *headOrChunkStartedAt_ > client_.options_.partialMessageTimeout)
     fail(CallResult::kMalformed, "a piece of its answer does not end");
 }
 
+bool ClientConnection::handlerLimitsBody() const {
+  return headComplete_ && handler_ && handler_->limitsBodyTime();
+}
+
 void ClientConnection::cancelUnsent() {
   const bool hasCall =
       state_.phase() == ClientPhase::kConnecting || state_.phase() == ClientPhase::kCallInProgress;
--- a/src/http1/client_connection.h
+++ b/src/http1/client_connection.h
@@ -59,6 +59,7 @@
   void sendRequest();
   void deferSend();
   void trackIncompleteHeadOrChunk();
+  bool handlerLimitsBody() const;
   void finishResponse();
   void becomeIdle();
   void fail(CallResult result, const std::string& reason);
@@ -74,6 +75,7 @@
   Client::HeadMaker makeHead_;  // null once the request has been sent
   std::shared_ptr<const std::string> body_;
   bool requestSent_ = false;
+  bool headComplete_ = false;  // of the final response, not of an informational one
   int sendDeferrals_ = 0;
   Instant lastResponseAt_{};
   std::optional<Instant> headOrChunkStartedAt_;  // empty between heads and chunks
--- a/src/platform/engine_attempt.h
+++ b/src/platform/engine_attempt.h
@@ -48,6 +48,8 @@
   void onHead(const http1::ResponseHead& head) override;
   void onBody(std::string_view bytes) override;
   void onEnd(http1::CallResult result, const std::string& reason) override;
+  /// Before a stream's first event the request's deadline is its limit, afterwards the attempt's own.
+  bool limitsBodyTime() const override { return response_.isStream(); }
 
  private:
   void recordActivity();
--- a/tests/stream_limits_test.cpp
+++ b/tests/stream_limits_test.cpp
@@ -129,6 +129,34 @@
   EXPECT_TRUE(isComplete(*peer));
 }
 
+// An engine may pause within a chunk.
+TEST_F(StreamLimitsTest, ContinuesStreamThatPausesWithinAChunk) {
+  const std::string chunk = chunkOf(eventOf("b") + kDone);
+  const auto peer = startStream(kStreamHead + chunkOf(eventOf("a")) + chunk.substr(0, 12));
+  advance(kAllowedPause);
+  ASSERT_FALSE(peer->closed);
+  latestDecodePeer().send(chunk.substr(12) + kLastChunk);
+  runUntilIdle();
+  EXPECT_TRUE(isComplete(*peer));
+}
+
+// The chunks of a stream need not be its events: one chunk may last for many events.
+TEST_F(StreamLimitsTest, ContinuesStreamWhoseEventsAreInOneLongChunk) {
+  constexpr int kEvents = 40;
+  const std::string event = eventOf("b");
+  char size[16];
+  std::snprintf(size, sizeof size, "%zx\r\n", kEvents * event.size());
+  const auto peer = startStream(kStreamHead + chunkOf(eventOf("a")) + size);
+  for (int i = 0; i < kEvents; ++i) {
+    latestDecodePeer().send(event);
+    advance(0.2);
+    ASSERT_FALSE(peer->closed) << i;
+  }
+  latestDecodePeer().send("\r\n" + chunkOf(kDone) + kLastChunk);
+  runUntilIdle();
+  EXPECT_TRUE(isComplete(*peer));
+}
+
 // ---- Responses before the first event: the request's deadline holds, whatever bytes arrive ----
 // Sends one piece every 0.2 s on the newest connection of `engine` until the client has its answer; returns
 // the elapsed time.
