A client's first request has 3 s from connecting: its first byte no longer restarts the limit

Callers saw: a client that connected, said nothing for up to 2.7 s, then began a request and stopped, or sent a byte now and then, had its error or close after up to 5.4 s; such a client is owed it within 3 s of connecting.

Cause: ServerConnection measured requestTimeout from the start of the phase, and the first byte begins a phase.

Change: for a connection's first request the limit runs from the accept, for later ones from their first byte, as before.

--- a/src/http1/server.h
+++ b/src/http1/server.h
@@ -21,7 +21,9 @@
   Limits limits;                                      ///< Size limits of each request.
   std::size_t maxConnections = 512;                   ///< Maximum for all clients together.
   std::uint64_t maxBufferedRequestBytes = 32U << 20;  ///< Total for requests being received.
-  Duration requestTimeout{2.7};    ///< Limit for the first request to begin, and for each to arrive.
+  /// Limit for a request to arrive: for a connection's first one from the accept, for a later one from its
+  /// first byte.
+  Duration requestTimeout{2.7};
   Duration idleTimeout{15};        ///< Closes a connection that is idle between two requests.
   Duration writeStallTimeout{20};  ///< Closes a connection whose client does not read its response.
   Duration lingerTimeout{1};       ///< Wait for the client to close after we shut down our write side.
--- a/src/http1/server_connection.cpp
+++ b/src/http1/server_connection.cpp
@@ -59,7 +59,8 @@
       connection_(server.loop_, *this),
       parser_(server.options_.limits),
       rejectStatus_(kBadRequest),
-      phaseStartedAt_(server.loop_.now()) {
+      acceptedAt_(server.loop_.now()),
+      phaseStartedAt_(acceptedAt_) {
   connection_.adopt(fd);
 }
 
@@ -152,8 +153,9 @@
   const ServerOptions& options = server_.options_;
   switch (state_.phase()) {
     case ServerPhase::kNew:
+      return acceptedAt_ + options.requestTimeout;
     case ServerPhase::kReceiving:
-      return phaseStartedAt_ + options.requestTimeout;
+      return (hadRequest_ ? phaseStartedAt_ : acceptedAt_) + options.requestTimeout;
     case ServerPhase::kIdle:
       if (connection_.pendingBytes() > 0) return lastProgressAt_ + options.writeStallTimeout;
       return phaseStartedAt_ + options.idleTimeout;
--- a/src/http1/server_connection.h
+++ b/src/http1/server_connection.h
@@ -96,6 +96,7 @@
   bool hadRequest_ = false;
   bool backpressure_ = false;  // onBackpressure(true) was called last
   int rejectStatus_;
+  const Instant acceptedAt_;
   Instant phaseStartedAt_;
   Instant lastProgressAt_{};  // when output was last sent, or none was pending
   std::size_t lastPendingBytes_ = 0;
