Discovery's list is applied although it arrives slowly: a chunk of a watch may take over 3 s

Callers saw: while discovery was slow and a list took over 3 s in one chunk, the node never learned it: it gave up each watch 3 s after the chunk's first byte and began anew. A drain is told 6 s after discovery has it, arrived or not.

Cause: the same limit of http1::ClientConnection as for streams, 3 s for a chunk, whoever waits.

Change: a watch limits its own time, and says so: it is replaced once it has delivered no object and no empty line for 2.8 s and another one delivers. Tests: AppliesListThatArrivesSlowlyInOneChunk (4.4 s) failed before (not known after 6 s, and a request went to the drained engine), passes now. AppliesDrainWhenOnlyUnfinishedObjectsArrive is new and passed before: bytes of an object that does not end, and blanks, do not count as life.

--- a/src/platform/discovery_watch.cpp
+++ b/src/platform/discovery_watch.cpp
@@ -59,6 +59,10 @@
     if (watch_ != nullptr) watch_->onStreamEnded(self);
   }
 
+  /// The watch opens a replacement if this stream delivers nothing for kSilenceLimit. A large list may take
+  /// longer, and must not be lost for that.
+  bool limitsBodyTime() const override { return statusOk_; }
+
  private:
   void onObject(const std::string& object) {
     if (watch_ == nullptr) return;
--- a/tests/watch_endings_test.cpp
+++ b/tests/watch_endings_test.cpp
@@ -183,5 +183,54 @@
   expectNothingReachesTheDecodeEngine();
 }
 
+// Discovery may be slow: a list that arrives in small pieces must be applied once it is complete. All watches
+// are equally slow, so a watch that is given up is lost time.
+TEST_F(WatchEndingsTest, AppliesListThatArrivesSlowlyInOneChunk) {
+  constexpr int kPieces = 22;
+  const Duration pause{0.2};
+  std::function<void(std::shared_ptr<Peer>, std::string, std::size_t)> sendPieces =
+      [&](const std::shared_ptr<Peer>& peer, const std::string& rest, std::size_t size) {
+        if (peer->closed || rest.empty()) return;
+        peer->send(rest.substr(0, size));
+        loop.runAfter(pause, [&, peer, left = rest.substr(std::min(size, rest.size())), size] {
+          sendPieces(peer, left, size);
+        });
+      };
+  discovery.script = [&](Peer& peer, const http1::Request&) {
+    peer.send(kStreamHead);
+    for (const auto& accepted : discovery.peers) {
+      if (accepted.get() == &peer)
+        sendPieces(accepted, chunkOf(list()), chunkOf(list()).size() / kPieces + 1);
+    }
+  };
+  drainWithoutNotification();
+  startNode();
+  EXPECT_TRUE(appliesListWithin(kPropagationLimit));
+  expectNothingReachesTheDecodeEngine();
+  node.reset();
+}
+
+// Bytes of an object that never ends do not show that a watch is alive, and neither do blanks between
+// objects.
+TEST_F(WatchEndingsTest, AppliesDrainWhenOnlyUnfinishedObjectsArrive) {
+  for (const std::string filler : {"{\"index\":", " ", "1,"}) {
+    draining = false;
+    serveEngineLists();
+    startNode();
+    ASSERT_TRUE(appliesListWithin(1));
+    const std::shared_ptr<Peer> first = openWatch();
+    drainWithoutNotification();
+    const Instant start = now();
+    while (node->listIndex() != index && now() - start < Duration(30)) {
+      if (!first->closed) first->send(chunkOf(filler));
+      becomesTrueWithin(0.2, [&] { return node->listIndex() == index; });
+    }
+    EXPECT_LT((now() - start).count(), kPropagationLimit) << filler;
+    expectNothingReachesTheDecodeEngine();
+    node.reset();
+    runUntilIdle();
+  }
+}
+
 }  // namespace
 }  // namespace gannetcourse::platform
