serve: a call whose request does not arrive ends at its deadline, 2.7 s at the latest

Callers saw: a gRPC client that sent a call's headers and then no end of its request, also one that sent empty frames on and on, never got a status, although its grpc-timeout had passed; proto/chat.proto promises DEADLINE_EXCEEDED then. Each such call held up to 4 MiB.

Cause: grpc::ServerConnection looks at the time-out only where a handler does, and a handler is called with the whole request.

Change: a timer for each call from its headers to the end of its request, of its grpc-timeout and at most 2.7 s, as over HTTP/1.1; suspended connections (fault injection of the lab) are left out. Tests: EndsCallAtItsDeadlineWhenTheRequestNeverEnds and EndsCallWithoutDeadlineWhenTheRequestDoesNotArriveInTime failed before (no status in 5 and 10 s), pass now; ServesRequestThatArrivesSlowlyWithinItsDeadline. New and green before as well, for the engines' side: repeated tokens neither put off the move of a silent stream nor the deadline (core_requests, two tests, node one). frame 26, node 31, lab 15 passed.

--- a/src/grpc/server.h
+++ b/src/grpc/server.h
@@ -20,6 +20,8 @@
   http2::Limits http2;
   std::size_t maxMessageBytes = 4 * 1024 * 1024;  ///< Largest accepted request message.
   std::size_t maxConnections = 20000;             ///< Further connections wait in the kernel's accept queue.
+  /// Limit for a request to arrive after its headers; a shorter grpc-timeout of the call takes precedence.
+  Duration requestTimeout{2.7};
 };
 
 /// Handles a complete request; responds through `call`, at once or later.
--- a/src/grpc/server_call.h
+++ b/src/grpc/server_call.h
@@ -57,6 +57,7 @@
   http2::StreamId stream_ = 0;
   std::unique_ptr<MessageReader> reader_;
   std::string requestMessage_;
+  net::TimerId requestTimer_ = 0;  // 0 once the request has arrived
   int messagesReceived_ = 0;
   bool headersSent_ = false;
   bool finished_ = false;
--- a/src/grpc/server_connection.cpp
+++ b/src/grpc/server_connection.cpp
@@ -1,5 +1,6 @@
 #include "grpc/server_connection.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace gannetcourse::grpc {
@@ -61,7 +62,19 @@
     error = checkHeaders(*call, headers);
   }
   call->metadata_ = std::move(headers);
-  if (error) call->finish(*error);
+  if (error) return call->finish(*error);
+  limitRequestTime(call);
+}
+
+// Ends the call if its request has not arrived in time. A suspended connection does not read the request.
+void ServerConnection::limitRequestTime(const std::shared_ptr<ServerCall>& call) {
+  const Duration longest = server_.options_.requestTimeout;
+  const Duration limit = std::min(call->timeout_.value_or(longest), longest);
+  call->requestTimer_ = server_.loop_.runAfter(limit, [weak = std::weak_ptr(call)] {
+    const std::shared_ptr<ServerCall> late = weak.lock();
+    if (!late || late->isSuspended()) return;
+    late->finish({Code::kDeadlineExceeded, "the request did not arrive in time"});
+  });
 }
 
 std::shared_ptr<ServerCall> ServerConnection::addCall(http2::StreamId stream, const std::string* method) {
@@ -97,6 +110,10 @@
   return std::nullopt;
 }
 
+void ServerConnection::cancelRequestTimer(ServerCall& call) {
+  server_.loop_.cancelTimer(std::exchange(call.requestTimer_, 0));
+}
+
 void ServerConnection::onData(http2::StreamId stream, std::span<const std::uint8_t> bytes) {
   session_.consumed(stream, bytes.size());
   ServerCall* const call = find(stream);
@@ -131,6 +148,7 @@
   if (found == calls_.end()) return;
   const std::shared_ptr<ServerCall> call = found->second;
   call->remoteClosed_ = true;
+  cancelRequestTimer(*call);
   if (call->finished_) return;
   if (call->reader_->isInsideMessage())
     return call->finish({Code::kInternal, "request ends inside a message"});
@@ -169,6 +187,7 @@
   if (found == calls_.end()) return;
   const std::shared_ptr<ServerCall> call = found->second;
   calls_.erase(found);
+  cancelRequestTimer(*call);
   const bool wasUnfinished = !call->finished_;
   call->finished_ = true;
   call->connection_ = nullptr;
--- a/src/grpc/server_connection.h
+++ b/src/grpc/server_connection.h
@@ -45,6 +45,8 @@
   std::optional<Status> checkHeaders(ServerCall& call, const http2::Headers& headers);
   std::optional<Status> checkMessages(const ServerCall& call) const;
   void respondHttpError(http2::StreamId stream, const char* status);
+  void limitRequestTime(const std::shared_ptr<ServerCall>& call);
+  void cancelRequestTimer(ServerCall& call);
   void dispatch(const std::shared_ptr<ServerCall>& call);
   void suspend(bool suspended);
   void closeCalls();
--- a/tests/core_requests_test.cpp
+++ b/tests/core_requests_test.cpp
@@ -186,5 +186,36 @@
   EXPECT_EQ(runEvents(), runEvents());
 }
 
+// ---- Streams that receive tokens, but none that is new ----
+// A repeated token must not count as progress: the stream is moved like one whose engine is silent.
+TEST_F(CoreRequestsTest, MigratesStreamThatReceivesOnlyRepeatedTokens) {
+  const CallKey stalled = startStream(1, 1), running = startStream(1.5, 2);
+  bool cancelled = false;
+  double time = 1.7;
+  for (std::uint32_t index = 1; !cancelled && time < 9; ++index, time += 0.1) {
+    for (const Command& command : advanceTo(time)) {
+      const auto* const cancel = std::get_if<CancelCall>(&command);
+      cancelled = cancelled || (cancel != nullptr && cancel->call == stalled);
+    }
+    core.onToken(at(time), stalled, 0, "a");
+    core.onToken(at(time), running, index, "b");
+  }
+  EXPECT_TRUE(cancelled);
+  EXPECT_LT(time, 1.2 + 1.5 + 1) << "1.5 s is the default limit for silence";
+}
+
+TEST_F(CoreRequestsTest, EndsRequestAtDeadlineWhenOnlyRepeatedTokensArrive) {
+  const CallKey call = startStream(1, 1, 5);
+  std::vector<FinalResponse> responses;
+  double time = 1.3;
+  for (; responses.empty() && time < 20; time += 0.1) {
+    responses = commandsOf<FinalResponse>(advanceTo(time));
+    core.onToken(at(time), call, 0, "a");
+  }
+  ASSERT_EQ(responses.size(), 1u);
+  EXPECT_EQ(responses.front().status, FinalStatus::kDeadlineExceeded);
+  EXPECT_LE(time, 1 + 5 + 0.2);
+}
+
 }  // namespace
 }  // namespace gannetcourse::router
--- a/tests/frame_test.cpp
+++ b/tests/frame_test.cpp
@@ -238,5 +238,52 @@
   EXPECT_TRUE(waitUntil([&] { return cancelled; }));
 }
 
+// ---- Requests that do not arrive ----
+// The bytes of a request must not extend its deadline, and a client that stops within a request must not hold
+// its call open.
+TEST_F(FrameTest, EndsCallAtItsDeadlineWhenTheRequestNeverEnds) {
+  http2::Headers headers = requestHeaders();
+  headers.push_back({"grpc-timeout", "300m"});
+  raw->write(kPreface + encodeFrame(kHeaders, kEndHeaders, 1, encodeHeaderBlock(headers)));
+  const Instant start = net::monotonicNow();
+  std::optional<Code> code;
+  while (!code && net::monotonicNow() - start < Duration(5)) {
+    raw->write(encodeFrame(kData, 0, 1, ""));
+    runUntil(
+        loop, [] { return false; }, 0.05);
+    for (const Frame& f : raw->frames()) {
+      if (f.stream == 1 && f.type == kHeaders) code = decodeStatus();
+    }
+  }
+  EXPECT_EQ(code, Code::kDeadlineExceeded);
+  EXPECT_LT((net::monotonicNow() - start).count(), 2);
+  EXPECT_TRUE(receivedMessages.empty());
+}
+
+TEST_F(FrameTest, EndsCallWithoutDeadlineWhenTheRequestDoesNotArriveInTime) {
+  ServerOptions limited = options();
+  limited.requestTimeout = Duration(0.3);
+  Server limitedServer(loop, {}, limited);
+  limitedServer.handle("/test.Echo/Say",
+                       [](const std::shared_ptr<ServerCall>& call, std::string_view) { call->finish({}); });
+  raw = RawHttp2Socket::connectTo(limitedServer.port());
+  raw->write(kPreface + encodeFrame(kHeaders, kEndHeaders, 1, encodeHeaderBlock(requestHeaders())));
+  EXPECT_EQ(statusOn(1), Code::kDeadlineExceeded);
+}
+
+TEST_F(FrameTest, ServesRequestThatArrivesSlowlyWithinItsDeadline) {
+  http2::Headers headers = requestHeaders();
+  headers.push_back({"grpc-timeout", "8S"});
+  raw->write(kPreface + encodeFrame(kHeaders, kEndHeaders, 1, encodeHeaderBlock(headers)));
+  const std::string body = frame("slow");
+  for (std::size_t i = 0; i < body.size(); ++i) {
+    runUntil(
+        loop, [] { return false; }, 0.1);
+    raw->write(encodeFrame(kData, i + 1 == body.size() ? kEndStream : 0, 1, body.substr(i, 1)));
+  }
+  EXPECT_EQ(statusOn(1), Code::kOk);
+  EXPECT_EQ(receivedMessages, std::vector<std::string>{"slow"});
+}
+
 }  // namespace
 }  // namespace gannetcourse::grpc
--- a/tests/node_engine_failure_test.cpp
+++ b/tests/node_engine_failure_test.cpp
@@ -24,6 +24,24 @@
   EXPECT_EQ(node->core().pendingObligations(), 0u);
 }
 
+// The engine sends all tokens but never the status that ends the call. Each token is sent again and again.
+TEST_F(NodeTest, EndsRequestAtDeadlineWhenTheStatusOfACompleteStreamIsMissing) {
+  startWithTwoEngines();
+  decodeEngine.onDecode = [](const ServerCall& call, const v1::DecodeRequest& request) {
+    for (std::uint32_t i = 0; i < request.max_output_tokens(); ++i) ScriptedEngine::sendToken(call, i, "x ");
+  };
+  const auto response = generate(query(), Duration(2));
+  const Instant startedAt = net::monotonicNow();
+  while (!response->end && net::monotonicNow() - startedAt < Duration(10)) {
+    for (const ServerCall& call : decodeEngine.calls) ScriptedEngine::sendToken(call, 0, "x ");
+    runFor(0.05);
+  }
+  EXPECT_TRUE(response->endedWith(grpc::Code::kDeadlineExceeded));
+  EXPECT_LT((net::monotonicNow() - startedAt).count(), 3);
+  EXPECT_EQ(response->tokens.size(), 10u);
+  EXPECT_TRUE(waitUntil([&] { return decodeEngine.cancelled == 1; }));
+}
+
 // Guards against attempts and states that are left behind when the client cancels while a retry is in flight.
 TEST_F(NodeTest, StartsNoAttemptAfterClientCancelsDuringRetry) {
   startWithTwoEngines();
