A client that takes no output is given up after 20 s although its engine goes on sending

Callers saw (operators): a client that read nothing kept its connection, its engine's slot and up to 64 KiB for 20 s after the last event that was put into its buffer, and not after it last took something: with an event each 0.5 s for 40.5 s.

Cause: ServerConnection::checkTimeouts took any change of the pending output for progress, also a growth.

Change: progress is what the kernel has accepted (net::Connection::sentBytes).

--- a/src/http1/server_connection.cpp
+++ b/src/http1/server_connection.cpp
@@ -141,9 +141,9 @@
 }
 
 void ServerConnection::checkTimeouts(Instant now) {
-  const std::size_t pending = connection_.pendingBytes();
-  if (pending == 0 || pending != lastPendingBytes_) lastProgressAt_ = now;
-  lastPendingBytes_ = pending;
+  const std::uint64_t sent = connection_.sentBytes();
+  if (connection_.pendingBytes() == 0 || sent != lastSentBytes_) lastProgressAt_ = now;
+  lastSentBytes_ = sent;
   if (now <= phaseDeadline()) return;
   ++server_.counters_.timedOut;
   handleEvent(ServerEvent::kTimedOut);
--- a/src/net/connection.cpp
+++ b/src/net/connection.cpp
@@ -162,6 +162,7 @@
     const auto sent = send(fd_, output_.data() + outputOffset_, pendingBytes(), MSG_NOSIGNAL);
     if (sent >= 0) {
       outputOffset_ += static_cast<std::size_t>(sent);
+      sentBytes_ += static_cast<std::uint64_t>(sent);
       continue;
     }
     if (errno == EINTR) continue;
--- a/src/net/connection.h
+++ b/src/net/connection.h
@@ -56,6 +56,8 @@
   bool canAcceptOutput() const { return isConnected() && pendingBytes() < kOutputWatermark; }
   /// Bytes of output that the kernel has not accepted yet.
   std::size_t pendingBytes() const { return output_.size() - outputOffset_; }
+  /// Bytes of output that the kernel has accepted since the connection was opened.
+  std::uint64_t sentBytes() const { return sentBytes_; }
   /// Adds to the pending output without sending it.
   void append(std::string_view bytes);
   void append(std::span<const std::uint8_t> bytes);
@@ -109,6 +111,7 @@
   TimerId writeTimer_ = 0;
   std::string output_;
   std::size_t outputOffset_ = 0;  // bytes at the start of output_ that have been sent
+  std::uint64_t sentBytes_ = 0;
 };
 
 }  // namespace gannetcourse::net
--- a/tests/stream_limits_test.cpp
+++ b/tests/stream_limits_test.cpp
@@ -157,6 +157,65 @@
   EXPECT_TRUE(isComplete(*peer));
 }
 
+// ---- Clients that do not read ----
+class SlowClientTest : public StreamTest {
+ protected:
+  static constexpr double kWriteStallLimit = 20;  // seconds without progress after which a client is given up
+  static constexpr std::size_t kEventBytes = 1000;
+
+  // Starts a stream to a client with small buffers in the kernel.
+  void startStreamToSlowClient() {
+    decodeEngine.script = [](Peer& peer, const http1::Request& request) {
+      if (!answerRelease(peer, request)) peer.send(kStreamHead + chunkOf(eventOf("a")));
+    };
+    startNode();
+    slow_.shrinkReceiveBuffer();
+    ASSERT_TRUE(slow_.connect(node->port()));
+    runUntilIdle();
+    shrinkSendBufferOfPeer(slow_);
+    slow_.send(chatRequest("slow"));
+    ASSERT_TRUE(becomesTrueWithin(1, [&] { return attemptCount(decodeEngine) == 1; }));
+  }
+  // Sends an event every 0.5 s until the attempt has ended; returns the elapsed time, at most `limit`
+  // seconds.
+  double secondsUntilGivenUp(double limit, const std::function<void()>& afterEachEvent) {
+    const Instant start = now();
+    while (node->engineClient().openCallCount() > 0 && now() - start < Duration(limit)) {
+      latestDecodePeer().send(chunkOf(eventOf(std::string(kEventBytes, 'z'))));
+      advance(0.5);
+      afterEachEvent();
+    }
+    return (now() - start).count();
+  }
+
+  RawSocket slow_;
+};
+
+// The limit for a client that takes no output must not restart because the engine sends more.
+TEST_F(SlowClientTest, ClosesConnectionOfClientThatReadsNothingWhileEventsArrive) {
+  startStreamToSlowClient();
+  // The kernel takes output until its buffers are full, and a little more at times that the test cannot tell.
+  Instant lastTaken = now();
+  std::size_t unsent = 0;
+  secondsUntilGivenUp(200, [&] {
+    const std::size_t before = std::exchange(unsent, node->frontend().server().unsentBytes());
+    const std::size_t added = before < net::Connection::kOutputWatermark ? kEventBytes : 0;
+    if (unsent < before + added && node->engineClient().openCallCount() > 0) lastTaken = now();
+  });
+  EXPECT_EQ(node->engineClient().openCallCount(), 0U);
+  EXPECT_LT((now() - lastTaken).count(), kWriteStallLimit + 1);
+}
+
+TEST_F(SlowClientTest, ServesClientThatReadsLittleAtATime) {
+  startStreamToSlowClient();
+  int events = 0;
+  const double elapsed = secondsUntilGivenUp(60, [&] {
+    if (++events % 20 == 0) slow_.receive();  // every 10 s
+  });
+  EXPECT_GE(elapsed, 60);
+  EXPECT_FALSE(slow_.ended());
+}
+
 // ---- Responses before the first event: the request's deadline holds, whatever bytes arrive ----
 // Sends one piece every 0.2 s on the newest connection of `engine` until the client has its answer; returns
 // the elapsed time.
