Statistics tell the longest time for which an open stream has been without an event

Change: longest_event_gap_ms in the statistics line, 0 before a stream's first event and while reading is paused. Test: StatisticsTellTheLongestTimeWithoutAnEvent (comments for 3 s after an event: 3 s).

--- a/src/platform/engine_attempt.cpp
+++ b/src/platform/engine_attempt.cpp
@@ -48,6 +48,11 @@
 
 // ---- Stalled streams ----
 
+Duration EngineAttempt::timeSinceEvent(Instant now) const {
+  const bool streaming = nextEvent_ > 0 && !paused_;
+  return streaming ? now - lastEventAt_ : Duration(0);
+}
+
 void EngineAttempt::scheduleStallCheck() {
   if (stallTimer_ != 0 || paused_) return;
   stallTimer_ = loop_.runAt(lastEventAt_ + kEventGapLimit, [weak = weak_from_this()] {
--- a/src/platform/engine_attempt.h
+++ b/src/platform/engine_attempt.h
@@ -36,6 +36,8 @@
 
   void setCall(http1::CallId call) { call_ = call; }
   EngineId engine() const { return engine_; }
+  /// How long the stream has been without an event; 0 before its first event and while reading is paused.
+  Duration timeSinceEvent(Instant now) const;
 
   /// Cancels the call without a report to the owner and closes its connection.
   void cancel();
--- a/src/platform/engine_client.cpp
+++ b/src/platform/engine_client.cpp
@@ -180,6 +180,13 @@
   sweepTimer_ = loop_.runAfter(kSweepInterval, [this] { sweep(); });
 }
 
+Duration EngineClient::longestEventGap() const {
+  Duration longest{0};
+  for (const auto& [key, attempt] : attempts_)
+    longest = std::max(longest, attempt->timeSinceEvent(loop_.now()));
+  return longest;
+}
+
 std::map<EngineId, std::size_t> EngineClient::openCallsByEngine() const {
   std::map<EngineId, std::size_t> open;
   for (const auto& [key, attempt] : attempts_) ++open[attempt->engine()];
--- a/src/platform/engine_client.h
+++ b/src/platform/engine_client.h
@@ -52,6 +52,8 @@
   // ---- For the node's statistics ----
   std::size_t knownEngineCount() const { return engines_.size(); }
   std::size_t openCallCount() const { return attempts_.size(); }
+  /// The longest time for which an open stream has been without an event.
+  Duration longestEventGap() const;
   std::size_t connectionCount() const { return client_.connectionCount(); }
   std::size_t idleConnectionCount() const { return client_.idleConnectionCount(); }
   std::uint64_t connectionsOpened() const { return client_.connectionsOpened(); }
--- a/src/platform/node.cpp
+++ b/src/platform/node.cpp
@@ -214,6 +214,7 @@
   statistics.rejectedMalformed = frontend_.rejectedMalformed();
   statistics.openRequests = core().openRequests();
   statistics.openCalls = engineClient_.openCallCount();
+  statistics.longestEventGap = engineClient_.longestEventGap();
   statistics.releasesPending = engineClient_.releases().pending();
   statistics.releases = engineClient_.releases().counters();
   statistics.clientConnections = frontend_.server().connectionCount();
--- a/src/platform/node_statistics.cpp
+++ b/src/platform/node_statistics.cpp
@@ -20,6 +20,7 @@
 
 void addRequests(LineBuilder& builder, const NodeStatistics& statistics) {
   const router::Counters& requests = statistics.requests;
+  const auto eventGapMs = static_cast<std::uint64_t>(statistics.longestEventGap.count() * 1000);
   builder.add("accepted", requests.accepted)
       .add("served", requests.served)
       .add("rejected", requests.rejected)
@@ -31,7 +32,8 @@
       .add("actions_blocked", requests.actionsBlocked)
       .add("violations", router::textOf(statistics.violations))
       .add("open", statistics.openRequests)
-      .add("calls_open", statistics.openCalls);
+      .add("calls_open", statistics.openCalls)
+      .add("longest_event_gap_ms", eventGapMs);
 }
 
 void addReleases(LineBuilder& builder, const NodeStatistics& statistics) {
--- a/src/platform/node_statistics.h
+++ b/src/platform/node_statistics.h
@@ -18,6 +18,7 @@
   std::uint64_t rejectedMalformed = 0;  ///< Rejected by the frontend; not passed to the core.
   std::size_t openRequests = 0;         ///< Requests at the core without a final response.
   std::size_t openCalls = 0;            ///< Open attempts at engines.
+  Duration longestEventGap{0};          ///< Longest time for which an open stream has been without an event.
 
   // ---- Releases ----
   std::size_t releasesPending = 0;
--- a/tests/stream_limits_test.cpp
+++ b/tests/stream_limits_test.cpp
@@ -83,6 +83,20 @@
   EXPECT_EQ(node->engineClient().openCallCount(), 0U);
 }
 
+// An operator must be able to tell a stream without events from one that is in order.
+TEST_F(StreamLimitsTest, StatisticsTellTheLongestTimeWithoutAnEvent) {
+  const auto peer = startStream(kStreamHead);
+  advance(1);
+  EXPECT_EQ(node->statistics().longestEventGap, Duration(0));  // no event yet
+  latestDecodePeer().send(chunkOf(eventOf("a")));
+  for (int i = 0; i < 15; ++i) {
+    latestDecodePeer().send(chunkOf(kFillers[0]));
+    advance(0.2);
+  }
+  EXPECT_NEAR(node->statistics().longestEventGap.count(), 3, 0.02);
+  EXPECT_NE(node->statisticsLine().find("longest_event_gap_ms="), std::string::npos);
+}
+
 // ---- Streams that go on within the protocol's limit ----
 // An engine under memory pressure may pause a stream for almost 5 s and then go on with it.
 TEST_F(StreamLimitsTest, ContinuesStreamWhosePausesAreWithinTheLimit) {
