A slow list is read to its end also on the watch that replaces a silent one

Callers saw: with a first watch that had fallen silent, a list that takes over 2.5 s to arrive was never known: each second watch was given up after 2.5 s for another, also while its list was under way.

Cause: DiscoveryWatch::checkLiveness reopened a replacement by its age, whatever it had received; the limits of http1::Client were not the only ones that cut a list off.

Change: a replacement that is receiving an object (bytes of it within the last second) takes the place of the dead stream, and another one is opened beside it at the same time as before. Still at most two connections.

--- a/src/platform/discovery_watch.cpp
+++ b/src/platform/discovery_watch.cpp
@@ -10,11 +10,14 @@
 namespace {
 
 // If the active stream is silent for kSilenceLimit, a replacement stream is opened. If the replacement
-// delivers nothing within kReplacementTimeout, it is reopened. kSilenceLimit is longer than the 2 s between
-// the empty lines that discovery sends as a keep-alive. Together the limits are shorter than the 6 s within
-// which the node must receive a change after discovery learned of it.
+// delivers nothing within kReplacementTimeout, another one is opened. kSilenceLimit is longer than the 2 s
+// between the empty lines that discovery sends as a keep-alive. Together the limits are shorter than the 6 s
+// within which the node must receive a change after discovery learned of it.
 const Duration kSilenceLimit{2.8}, kReplacementTimeout{2.5}, kLivenessInterval{0.2};
 
+// An object that is not complete counts as being received if some of it has arrived within this time.
+const Duration kMaxPauseWithinObject{1};
+
 // Backoff before a stream that ended or was rejected is reopened. It doubles up to kMaxBackoff, and is set to
 // kResetBackoff once a stream delivers more than kStableStreamAge after it was opened.
 const Duration kInitialBackoff{0.1}, kResetBackoff{0.2}, kMaxBackoff{0.5}, kStableStreamAge{2};
@@ -40,6 +43,9 @@
   void recordActivity(Instant now) { lastActivityAt_ = now; }
   Instant openedAt() const { return openedAt_; }
   Instant lastActivityAt() const { return lastActivityAt_; }
+  bool isReceivingObject(Instant now) const {
+    return splitter_.hasPartialObject() && now - lastBytesAt_ <= kMaxPauseWithinObject;
+  }
 
   void close() {
     if (watch_ != nullptr) std::exchange(watch_, nullptr)->client_.cancel(call_);
@@ -50,6 +56,7 @@
   void onBody(std::string_view bytes) override {
     const std::shared_ptr<Stream> self = shared_from_this();  // the watch may release this stream
     if (watch_ == nullptr || !statusOk_) return;
+    lastBytesAt_ = watch_->loop_.now();
     const bool alive = splitter_.feed(bytes, [this](const std::string& object) { onObject(object); });
     if (alive && watch_ != nullptr) watch_->onActivity(*this);
   }
@@ -74,6 +81,7 @@
   http1::CallId call_ = 0;
   Instant openedAt_;
   Instant lastActivityAt_;
+  Instant lastBytesAt_{};
   JsonStreamSplitter splitter_;
   bool statusOk_ = false;
 };
@@ -148,14 +156,18 @@
   }
   if (stream.lastActivityAt() - stream.openedAt() > kStableStreamAge) backoff_ = kResetBackoff;
   if (replacement_ && replacement_.get() == &stream) {
-    active_->close();
-    active_ = std::exchange(replacement_, nullptr);
-    replacingActive_ = false;
+    useReplacement();
   } else if (replacement_ && !replacingActive_) {
     std::exchange(replacement_, nullptr)->close();
   }
 }
 
+void DiscoveryWatch::useReplacement() {
+  active_->close();
+  active_ = std::exchange(replacement_, nullptr);
+  replacingActive_ = false;
+}
+
 void DiscoveryWatch::onStreamEnded(const std::shared_ptr<Stream>& stream) {
   if (stream != active_ && stream != replacement_) return;
   stream->close();
@@ -176,6 +188,9 @@
   }
   const bool replacementTimedOut = replacement_ && now - replacement_->openedAt() > kReplacementTimeout;
   const bool replacementNeeded = !replacement_ && silent;
+  // A slow list is read to its end: its stream takes the place of the silent one, beside another replacement.
+  const bool activeIsDead = silent && !active_->isReceivingObject(now);
+  if (replacementTimedOut && activeIsDead && replacement_->isReceivingObject(now)) useReplacement();
   if (replacementTimedOut || replacementNeeded) openStream();
 }
 
--- a/src/platform/discovery_watch.h
+++ b/src/platform/discovery_watch.h
@@ -48,6 +48,7 @@
   void openStreamAfter(Duration delay);
   void checkLiveness();
   void onActivity(Stream& stream);
+  void useReplacement();
   void onStreamEnded(const std::shared_ptr<Stream>& stream);
 
   net::Loop& loop_;
--- a/src/platform/json_stream_splitter.h
+++ b/src/platform/json_stream_splitter.h
@@ -16,6 +16,8 @@
   /// is alive: they complete an object or contain a line end between objects. Drops an object that is longer
   /// than 8 MiB.
   bool feed(std::string_view bytes, const ObjectHandler& onObject);
+  /// Whether part of an object has been received, but not its end.
+  bool hasPartialObject() const { return depth_ > 0; }
 
  private:
   void trackStructure(char c);
--- a/tests/watch_endings_test.cpp
+++ b/tests/watch_endings_test.cpp
@@ -34,6 +34,25 @@
     }
     loop.runAfter(Duration(2), [this, &server] { sendEmptyLinesPeriodically(server); });
   }
+  // Makes discovery send the current list on each new watch in pieces that take `seconds` together.
+  void serveEngineListsSlowly(double seconds) {
+    discovery.script = [this, seconds](Peer& peer, const http1::Request&) {
+      peer.send(kStreamHead);
+      for (const auto& accepted : discovery.peers) {
+        if (accepted.get() == &peer) sendPieces(accepted, chunkOf(list()), seconds);
+      }
+    };
+  }
+  void sendPieces(const std::shared_ptr<Peer>& peer, const std::string& text, double seconds) {
+    constexpr std::size_t kPieces = 20;
+    const std::size_t size = text.size() / kPieces + 1;
+    for (std::size_t piece = 0; piece * size < text.size(); ++piece) {
+      loop.runAfter(Duration(seconds) * (piece + 1.0) / kPieces,
+                    [peer, bytes = text.substr(piece * size, size)] {
+                      if (!peer->closed) peer->send(bytes);
+                    });
+    }
+  }
   // Sets the decode engine to draining without notifying the open watches.
   void drainWithoutNotification() {
     ++index;
@@ -186,28 +205,29 @@
 // Discovery may be slow: a list that arrives in small pieces must be applied once it is complete. All watches
 // are equally slow, so a watch that is given up is lost time.
 TEST_F(WatchEndingsTest, AppliesListThatArrivesSlowlyInOneChunk) {
-  constexpr int kPieces = 22;
-  const Duration pause{0.2};
-  std::function<void(std::shared_ptr<Peer>, std::string, std::size_t)> sendPieces =
-      [&](const std::shared_ptr<Peer>& peer, const std::string& rest, std::size_t size) {
-        if (peer->closed || rest.empty()) return;
-        peer->send(rest.substr(0, size));
-        loop.runAfter(pause, [&, peer, left = rest.substr(std::min(size, rest.size())), size] {
-          sendPieces(peer, left, size);
-        });
-      };
-  discovery.script = [&](Peer& peer, const http1::Request&) {
-    peer.send(kStreamHead);
-    for (const auto& accepted : discovery.peers) {
-      if (accepted.get() == &peer)
-        sendPieces(accepted, chunkOf(list()), chunkOf(list()).size() / kPieces + 1);
-    }
-  };
+  serveEngineListsSlowly(4.4);
   drainWithoutNotification();
   startNode();
   EXPECT_TRUE(appliesListWithin(kPropagationLimit));
   expectNothingReachesTheDecodeEngine();
-  node.reset();
+}
+
+// As above, for the watch that replaces a silent one. Such a watch must not be given up while its list
+// arrives.
+TEST_F(WatchEndingsTest, AppliesListThatArrivesSlowlyOnTheReplacementOfASilentWatch) {
+  for (const double listSeconds : {2.7, 4.0}) {
+    draining = false;
+    serveEngineLists();
+    startNode();
+    ASSERT_TRUE(appliesListWithin(1));
+    drainWithoutNotification();
+    serveEngineListsSlowly(listSeconds);
+    constexpr double kDetectionLimit = 3.1;  // until the silent watch is replaced
+    EXPECT_TRUE(appliesListWithin(kDetectionLimit + listSeconds)) << listSeconds;
+    expectNothingReachesTheDecodeEngine();
+    node.reset();
+    runUntilIdle();
+  }
 }
 
 // Bytes of an object that never ends do not show that a watch is alive, and neither do blanks between
