Test: an incomplete request behind others is answered in time after reading was paused

The row of the limits' table for clients' requests with reading paused had no test. 800 KB of whole requests and a part of one wait behind a stream, past the 512 KiB for which a connection is read; once they are answered, bytes of the last one keep arriving and it gets its 408 within 3 s.

--- a/tests/request_limits_test.cpp
+++ b/tests/request_limits_test.cpp
@@ -68,6 +68,29 @@
   EXPECT_TRUE(peer->hasReceived("HTTP/1.1 408"));
 }
 
+// As above, where reading was paused because too many bytes waited behind the first request.
+TEST_F(RequestLimitsTest, RejectsIncompleteRequestAfterReadingWasPaused) {
+  const auto peer = startStream(kStreamHead + chunkOf(eventOf("a")));
+  const std::string body = "{\"messages\":[\"" + std::string(200'000, 'b') + "\"]}";
+  constexpr std::size_t kRequests = 4;  // more bytes than the limit on pipelined bytes
+  for (std::size_t i = 0; i < kRequests; ++i)
+    peer->send(chatRequest("next" + std::to_string(i), "", "chat", "4800", body));
+  const std::string last = chatRequest("last");
+  peer->send(last.substr(0, 60));
+  advance(4);
+  decodeEngine.script = [](Peer& engine, const http1::Request& r) { answerDecode(engine, r); };
+  latestDecodePeer().send(chunkOf(kDone) + kLastChunk);
+  const auto answersReceived = [&] {
+    std::size_t count = 0;
+    for (std::size_t at = 0; (at = peer->received.find("HTTP/1.1 200", at)) != std::string::npos; ++at)
+      ++count;
+    return count;
+  };
+  ASSERT_TRUE(becomesTrueWithin(5, [&] { return answersReceived() == kRequests + 1; }));
+  EXPECT_LT(secondsUntilAnsweredWhileSending(peer, last.substr(60)), kMaxWait);
+  EXPECT_TRUE(peer->hasReceived("HTTP/1.1 408"));
+}
+
 TEST_F(RequestLimitsTest, ServesRequestThatArrivesSlowlyWithinTheLimit) {
   startNode();
   const std::string request = chatRequest("slow");
