--- a/src/http1/server_connection.h
+++ b/src/http1/server_connection.h
@@ -98,7 +98,7 @@
   int rejectStatus_;
   const Instant acceptedAt_;
   Instant phaseStartedAt_;
-  Instant lastProgressAt_{};  // when output was last sent, or none was pending
+  Instant lastProgressAt_{};         // when output was last sent, or none was pending
   std::uint64_t lastSentBytes_ = 0;  // the connection's count at the last check of the time limits
   std::uint64_t discardedBytes_ = 0;
   std::uint64_t requestsDispatched_ = 0;
