--- a/review/common-2/peers.py
+++ b/review/common-2/peers.py
@@ -25,18 +25,30 @@
 class Fleet:
     """Engines on ports of their own. `read_time`: seconds of a read; `events`, `pause`: of an answer."""
 
+    FIRST_TOKEN = 0.05  # seconds from a writer's request to its first event
+
     def __init__(self, record, read_time=0.05, events=5, pause=0.05):
         self.record, self.read_time, self.events, self.pause = record, read_time, events, pause
         self.roles = {}
         self.states = {}  # request: reader that holds its state
         self.attempts = []  # (time, engine, role, request, told milliseconds)
-        self.servers = []
+        self.servers = {}
+        self.connections = {}  # engine: its open connections
 
     async def add(self, name, role, port):
         self.roles[name] = role
-        self.servers.append(await asyncio.start_server(lambda r, w: self.serve(name, r, w), "127.0.0.1", port))
+        self.connections[name] = set()
+        self.servers[name] = await asyncio.start_server(lambda r, w: self.serve(name, r, w), "127.0.0.1", port)
+
+    def end(self, name):
+        """The engine's process ends: its connections are reset and new ones are refused."""
+        self.servers[name].close()
+        self.record.write("engine ends", engine=name, connections=len(self.connections[name]))
+        for writer in self.connections[name]:
+            writer.transport.abort()
 
     async def serve(self, name, reader, writer):
+        self.connections[name].add(writer)
         try:
             while True:
                 line, fields, _ = await read_message(reader)
@@ -49,6 +61,7 @@
         except (asyncio.IncompleteReadError, ConnectionError):
             pass
         finally:
+            self.connections[name].discard(writer)
             writer.close()
 
     async def lease(self, name, method, request, writer):
@@ -70,6 +83,7 @@
         await asyncio.wait({ended, answer}, return_when=asyncio.FIRST_COMPLETED)
         if not answer.done():
             answer.cancel()
+            await asyncio.gather(ended, answer, return_exceptions=True)
             self.record.write("given up", engine=name, request=request)
             return False
         ended.cancel()
@@ -87,6 +101,7 @@
         if self.states.pop(request, None) is None:
             writer.write(GONE)
             return
+        await asyncio.sleep(self.FIRST_TOKEN)
         writer.write(STREAM_HEAD)
         for number in range(self.events):
             self.send(writer, f'data: {{"choices":[{{"index":0,"delta":{{"content":"{request}.{number} "}}}}]}}\n\n')
@@ -109,7 +124,7 @@
         self.id = f"{next(self.numbers):016x}"
         self.budget_ms, self.kind, self.tokens = budget_ms, kind, tokens
         self.sent_at = self.first_byte_at = self.ended_at = self.status = None
-        self.whole = False
+        self.whole = self.broken = False
 
     def encoded(self):
         prompt = "read" * self.tokens  # a token is four characters
@@ -149,6 +164,7 @@
         try:
             return await self.read_answer(request)
         except (asyncio.IncompleteReadError, ConnectionError, ValueError) as error:
+            request.broken = True
             self.record.write("connection ended", request=request.id, status=request.status, why=type(error).__name__)
             return False
 
@@ -178,14 +194,16 @@
             self.writer.close()
 
 
-async def load(record, port, per_second, budget_ms):
-    """Usual clients: a connection each, one request after the other, until it is cancelled."""
+async def load(record, port, per_second, budget_ms, requests=None):
+    """Usual clients: a connection each, one request, until it is cancelled. `requests`: takes what they sent."""
 
     async def one():
         client = Client(record, port)
         try:
             await client.connect()
             request = Request(budget_ms)
+            if requests is not None:
+                requests.append(request)
             client.send(request)
             await client.receive(request)
         except OSError as error:
