--- a/review/common-2/deployment.py
+++ b/review/common-2/deployment.py
@@ -12,15 +12,17 @@
 class Deployment:
     """The stand-ins of a case and its node. The first agent is the one that the node is told of."""
 
-    def __init__(self, record, read_time=0.05, events=5, pause=0.05, agents=("agent",), **settings):
-        self.record = record
-        self.fleet = peers.Fleet(record, read_time, events, pause)
-        ports = stage.free_ports(len(ENGINES) + len(agents) + 1)
-        self.engine_ports = dict(zip(ENGINES, ports))
-        self.entries = [stage.entry(name, self.engine_ports[name], kind) for name, kind in ENGINES.items()]
-        self.agent_ports = dict(zip(agents, ports[len(ENGINES) :]))
+    def __init__(
+        self, record, read_time=0.05, events=5, pause=0.05, agents=("agent",), engines=None, fleet=peers.Fleet
+    ):
+        self.record, self.engines = record, engines or ENGINES
+        self.fleet = fleet(record, read_time, events, pause)
+        ports = stage.free_ports(len(self.engines) + len(agents) + 1)
+        self.engine_ports = dict(zip(self.engines, ports))
+        self.entries = [stage.entry(name, self.engine_ports[name], kind) for name, kind in self.engines.items()]
+        self.agent_ports = dict(zip(agents, ports[len(self.engines) :]))
         self.agents = {name: stage.Agent(record, name, self.entries, FIRST_INDEX) for name in agents}
-        self.settings, self.node_port = stage.settings(**settings), ports[-1]
+        self.settings, self.node_port = stage.settings(), ports[-1]
         self.background = []
         self.node = self.new_node(agents[0])
 
@@ -30,7 +32,7 @@
         return stage.Node(self.record, self.settings, entries, FIRST_INDEX, self.node_port, self.agent_ports[agent])
 
     async def start(self):
-        for name, role in ENGINES.items():
+        for name, role in self.engines.items():
             await self.fleet.add(name, role, self.engine_ports[name])
         for name, agent in self.agents.items():
             await agent.listen(self.agent_ports[name])
--- a/review/common-2/peers.py
+++ b/review/common-2/peers.py
@@ -78,7 +78,7 @@
         self.attempts.append((now, name, role, request, told))
         ended = asyncio.create_task(reader.read(1))
         answer = asyncio.create_task(
-            self.read(name, request, writer) if role == "prefill" else self.write(request, writer)
+            self.read(name, request, writer) if role == "prefill" else self.write(name, request, writer)
         )
         await asyncio.wait({ended, answer}, return_when=asyncio.FIRST_COMPLETED)
         if not answer.done():
@@ -97,18 +97,25 @@
         writer.write(READ)
         self.record.write("read", engine=name, request=request)
 
-    async def write(self, request, writer):
+    async def write(self, name, request, writer):
         if self.states.pop(request, None) is None:
             writer.write(GONE)
             return
         await asyncio.sleep(self.FIRST_TOKEN)
         writer.write(STREAM_HEAD)
         for number in range(self.events):
-            self.send(writer, f'data: {{"choices":[{{"index":0,"delta":{{"content":"{request}.{number} "}}}}]}}\n\n')
+            self.send_event(writer, request, number)
             await asyncio.sleep(self.pause)
+        self.send_end(writer)
+        self.record.write("written", engine=name, request=request)
+
+    def send_event(self, writer, request, number):
+        delta = {"content": f"{request}.{number} "}
+        self.send(writer, f"data: {json.dumps({'choices': [{'index': 0, 'delta': delta}]})}\n\n")
+
+    def send_end(self, writer):
         self.send(writer, "data: [DONE]\n\n")
         writer.write(b"0\r\n\r\n")
-        self.record.write("written", request=request)
 
     @staticmethod
     def send(writer, text):
