RandomInterleavings draws its numbers in a fixed order on every machine

Cause: servePrefill drew the delay and the behavior in two arguments of one call.

Change: both are drawn into named locals, the delay first.

--- a/tests/random_interleavings_test.cpp
+++ b/tests/random_interleavings_test.cpp
@@ -167,7 +167,9 @@
   void servePrefill(Peer& peer, const http1::Request& request, std::size_t engine) {
     if (recordRelease(peer, request)) return;
     const auto attempt = onAttempt(peer, request, engine);
-    runLater(withProbability(0.5) ? 0 : uniform(0, 0.3), [this, attempt, behavior = randomIndex(30)] {
+    const double delay = withProbability(0.5) ? 0 : uniform(0, 0.3);
+    const std::size_t behavior = randomIndex(30);
+    runLater(delay, [this, attempt, behavior] {
       if (!isOpen(*attempt)) return;
       if (behavior < 26) {
         endAttempt(*attempt, false);
