Discovery watch: a slow discovery is heard, questions to it overlap

Seen by callers: all open watches fall silent, and discovery answers each new watch after 3 s.

Cause: DiscoveryWatch kept one question open beside the silent watch and closed it after 2.5 s to ask anew, so an answer that takes longer was never read. The agent's record shows it: each answer, 3 s after its watch was opened, found the watch closed, and the next one was opened 2.61 s after the last.

Change: while the watch is silent another one is opened every 2 s, up to four beside it, and the first word on any wins. The oldest stays open for 30 s, so that a slow answer is heard; the others take turns, 6 s each, so that a discovery that lost the oldest is heard as well. A watch counts as silent after 2.3 s, 0.3 s past the protocol's keep-alive, which leaves discovery 3.6 s of the 6 s for its answer. The bound of connections to discovery is five instead of two; docs/platform.md says so.

KeepsFirstWatchOpenAndRenewsSecondWhileDiscoveryIsSilent wanted two open watches at most. That was the fault itself: the second one was closed to open the third. Its successor wants all three open, none opened sooner than the pace allows, and one left once discovery has spoken; the bound of five is checked by AppliesDrainWhenNewWatchesAreAnsweredAfterTheLimit.

--- a/src/platform/discovery_watch.cpp
+++ b/src/platform/discovery_watch.cpp
@@ -9,11 +9,18 @@
 namespace gannetcourse::platform {
 namespace {
 
-// If the active stream is silent for kSilenceLimit, a replacement stream is opened. If the replacement
-// delivers nothing within kReplacementTimeout, another one is opened. kSilenceLimit is longer than the 2 s
-// between the empty lines that discovery sends as a keep-alive. Together the limits are shorter than the 6 s
-// within which the node must receive a change after discovery learned of it.
-const Duration kSilenceLimit{2.8}, kReplacementTimeout{2.5}, kLivenessInterval{0.2};
+// If the active stream is silent for kSilenceLimit, a replacement is opened, and another one every
+// kReplacementInterval until a stream delivers. kSilenceLimit is longer than the 2 s between the empty lines
+// that discovery sends as a keep-alive; the rest of the 6 s within which the node must receive a change is
+// left to discovery for its answer.
+const Duration kSilenceLimit{2.3}, kReplacementInterval{2}, kLivenessInterval{0.1};
+
+// Replacements that may wait for an answer at a time. The oldest one is kept for kMaxAnswerTime, because
+// discovery may be slow; the newer ones take turns, because discovery may have lost the oldest one.
+constexpr std::size_t kMaxReplacements = 4;
+const Duration kMaxAnswerTime{30};
+// No further replacement is opened while one that was opened less than this ago is receiving a list.
+const Duration kMaxListTime{6};
 
 // An object that is not complete counts as being received if some of it has arrived within this time.
 const Duration kMaxPauseWithinObject{1};
@@ -32,7 +39,7 @@
 http1::ClientOptions watchOptions(std::shared_ptr<net::MemoryBudget> memory) {
   http1::ClientOptions options;
   options.limits.maxBodyBytes = 0;  // no limit: the response is an endless stream
-  options.maxConnections = 2;
+  options.maxConnections = 1 + kMaxReplacements;
   options.connectTimeout = Duration(0.5);
   options.memory = std::move(memory);
   return options;
@@ -120,9 +127,8 @@
 }
 
 DiscoveryWatch::~DiscoveryWatch() {
-  for (const auto& stream : {active_, replacement_}) {
-    if (stream) stream->close();
-  }
+  if (active_) active_->close();
+  closeReplacements();
   loop_.cancelTimer(reopenTimer_);
   loop_.cancelTimer(livenessTimer_);
 }
@@ -131,6 +137,7 @@
   endpoint_ = endpoint;
   backoff_ = kResetBackoff;
   replacingActive_ = true;
+  closeReplacements();
   openStream();
 }
 
@@ -154,23 +161,42 @@
   });
 }
 
-// Opens a stream. The new stream becomes the active one if there is no active stream, otherwise the
-// replacement. An earlier replacement is closed.
+// Opens a stream. The new stream becomes the active one if there is no active stream, otherwise a
+// replacement.
 void DiscoveryWatch::openStream() {
   loop_.cancelTimer(std::exchange(reopenTimer_, 0));
-  if (replacement_) replacement_->close();
-  replacement_.reset();
+  if (snapshotRequested_) closeReplacements();  // they would answer with changes only
+  makeRoomForReplacement();
   ++watchesOpened_;
   const auto stream = std::make_shared<Stream>(*this);
-  (active_ ? replacement_ : active_) = stream;
+  if (active_) {
+    replacements_.push_back(stream);
+  } else {
+    active_ = stream;
+    replacingActive_ = false;
+  }
   const std::uint64_t from = std::exchange(snapshotRequested_, false) ? 0 : resumeIndex_;
   std::string head = requestHead("GET", "/api/targets?watch=1&from=" + std::to_string(from), endpoint_);
   stream->setCall(client_.start(
       endpoint_, [head = std::move(head)] { return head; }, nullptr, stream));
 }
 
-// Keeps the stream that has delivered data and closes the other one. Exception: while the active stream is
-// being replaced on purpose (replacingActive_), data on it does not close the replacement.
+// If there are as many replacements as allowed, closes the oldest one that may be given up.
+void DiscoveryWatch::makeRoomForReplacement() {
+  if (replacements_.size() < kMaxReplacements) return;
+  const bool oldestTimedOut = loop_.now() - replacements_.front()->openedAt() > kMaxAnswerTime;
+  const auto givenUp = replacements_.begin() + (oldestTimedOut ? 0 : 1);
+  (*givenUp)->close();
+  replacements_.erase(givenUp);
+}
+
+void DiscoveryWatch::closeReplacements() {
+  for (const StreamPtr& replacement : replacements_) replacement->close();
+  replacements_.clear();
+}
+
+// Keeps the stream that has delivered data and closes the others. Exception: while the active stream is being
+// replaced on purpose (replacingActive_), data on it does not close the replacements.
 void DiscoveryWatch::onActivity(Stream& stream) {
   stream.recordActivity(loop_.now());
   if (log_ && silenceLogged_) {
@@ -178,24 +204,34 @@
     log_("discovery speaks again");
   }
   if (stream.lastActivityAt() - stream.openedAt() > kStableStreamAge) backoff_ = kResetBackoff;
-  if (replacement_ && replacement_.get() == &stream) {
-    useReplacement();
-  } else if (replacement_ && !replacingActive_) {
-    std::exchange(replacement_, nullptr)->close();
+  if (active_.get() != &stream) {
+    useReplacement(stream);
+  } else if (!replacingActive_) {
+    closeReplacements();
   }
 }
 
-void DiscoveryWatch::useReplacement() {
+// Makes the replacement the active stream and closes all others.
+void DiscoveryWatch::useReplacement(Stream& stream) {
+  const auto found = std::find_if(replacements_.begin(), replacements_.end(),
+                                  [&](const StreamPtr& replacement) { return replacement.get() == &stream; });
+  const StreamPtr used = *found;
+  replacements_.erase(found);
+  closeReplacements();
   active_->close();
-  active_ = std::exchange(replacement_, nullptr);
+  active_ = used;
   replacingActive_ = false;
 }
 
-void DiscoveryWatch::onStreamEnded(const std::shared_ptr<Stream>& stream) {
-  if (stream != active_ && stream != replacement_) return;
+void DiscoveryWatch::onStreamEnded(const StreamPtr& stream) {
   stream->close();
-  if (stream == active_) active_ = std::exchange(replacement_, nullptr);
-  replacement_.reset();
+  if (stream == active_) {
+    active_ = replacements_.empty() ? nullptr : replacements_.front();
+    if (active_) replacements_.erase(replacements_.begin());
+    replacingActive_ = false;
+  } else {
+    std::erase(replacements_, stream);
+  }
   openStreamAfter(backoff_);
   backoff_ = std::min(kMaxBackoff, 2 * backoff_);
 }
@@ -209,12 +245,16 @@
     silenceLogged_ = true;
     log_("discovery is silent: a second watch is opened");
   }
-  const bool replacementTimedOut = replacement_ && now - replacement_->openedAt() > kReplacementTimeout;
-  const bool replacementNeeded = !replacement_ && silent;
-  // A slow list is read to its end: its stream takes the place of the silent one, beside another replacement.
-  const bool activeIsDead = silent && !active_->isReceivingObject(now);
-  if (replacementTimedOut && activeIsDead && replacement_->isReceivingObject(now)) useReplacement();
-  if (replacementTimedOut || replacementNeeded) openStream();
+  if (replacements_.empty() ? silent : isReplacementDue(now)) openStream();
+}
+
+// Whether the replacements have waited for so long that another one has to be opened beside them.
+bool DiscoveryWatch::isReplacementDue(Instant now) const {
+  const bool receivesList =
+      std::any_of(replacements_.begin(), replacements_.end(), [now](const StreamPtr& replacement) {
+        return now - replacement->openedAt() < kMaxListTime && replacement->isReceivingObject(now);
+      });
+  return !receivesList && now - replacements_.back()->openedAt() > kReplacementInterval;
 }
 
 }  // namespace gannetcourse::platform
--- a/src/platform/discovery_watch.h
+++ b/src/platform/discovery_watch.h
@@ -7,6 +7,7 @@
 #include <memory>
 #include <random>
 #include <string>
+#include <vector>
 
 #include "http1/client.h"
 #include "net/loop.h"
@@ -14,8 +15,9 @@
 namespace gannetcourse::platform {
 
 /// Delivers the JSON objects that discovery sends on its watch. If the open stream delivers nothing for
-/// 2.8 s, a second stream is opened in parallel, and the one that delivers first is kept. Uses at most two
-/// connections at a time.
+/// 2.3 s, further streams are opened in parallel, one every 2 s, and the one that delivers first is kept. A
+/// stream that discovery has not answered yet stays open, so that a slow discovery is heard as well as a fast
+/// one. Uses at most five connections at a time.
 ///
 /// Not thread-safe; everything runs on the loop, which must outlive the watch.
 class DiscoveryWatch {
@@ -45,13 +47,17 @@
 
  private:
   class Stream;
+  using StreamPtr = std::shared_ptr<Stream>;
   void openStream();
   void openStreamAfter(Duration delay);
+  void makeRoomForReplacement();
+  void closeReplacements();
+  bool isReplacementDue(Instant now) const;
   void logTooLarge();
   void checkLiveness();
   void onActivity(Stream& stream);
-  void useReplacement();
-  void onStreamEnded(const std::shared_ptr<Stream>& stream);
+  void useReplacement(Stream& stream);
+  void onStreamEnded(const StreamPtr& stream);
 
   net::Loop& loop_;
   net::Endpoint endpoint_;
@@ -60,7 +66,8 @@
   ObjectHandler onObject_;
   LogHandler log_;
   http1::Client client_;
-  std::shared_ptr<Stream> active_, replacement_;  // replacement_ is set only while active_ is set
+  StreamPtr active_;
+  std::vector<StreamPtr> replacements_;  // oldest first; not answered yet; empty while active_ is null
   bool snapshotRequested_ = false;
   bool replacingActive_ = false;  // active_ is to be replaced even if it still delivers
   bool silenceLogged_ = false;
--- a/tests/discovery_watch_test.cpp
+++ b/tests/discovery_watch_test.cpp
@@ -143,16 +143,22 @@
   EXPECT_TRUE(hasAppliedDrain());
 }
 
-TEST_F(DiscoveryWatchTest, KeepsFirstWatchOpenAndRenewsSecondWhileDiscoveryIsSilent) {
+TEST_F(DiscoveryWatchTest, KeepsFirstWatchOpenAndOpensOthersWhileDiscoveryIsSilent) {
   discovery.script = [](Peer&, const http1::Request&) {};
   startNode();
+  const Instant start = net::monotonicNow();
   ASSERT_TRUE(runUntil([&] { return watchCount() >= 3; }));
+  EXPECT_GE((net::monotonicNow() - start).count(), 4.2);  // a silent discovery is not flooded with watches
   EXPECT_FALSE(discovery.peers.front()->closed);
   std::size_t open = 0;
   for (const auto& peer : discovery.peers) open += !peer->closed;
-  EXPECT_LE(open, 2U);
+  EXPECT_EQ(open, 3U);  // none is closed before discovery has had time to answer it
   discovery.peers.front()->send(kStreamHead + chunkOf(drainMessage(9)));  // on the first watch
   ASSERT_TRUE(runUntil([&] { return node->listIndex() == 9; }));
+  runFor(0.1);
+  open = 0;
+  for (const auto& peer : discovery.peers) open += !peer->closed;
+  EXPECT_EQ(open, 1U);
   EXPECT_TRUE(hasAppliedDrain());
 }
 
--- a/tests/watch_endings_test.cpp
+++ b/tests/watch_endings_test.cpp
@@ -10,6 +10,7 @@
 // Limits within which a change must be known, in seconds.
 constexpr double kPropagationLimit = 6;  // after a watch fell silent, or after the change became available
 constexpr double kPropagationLimitAfterReload = 4;  // after a reload (SIGHUP) changed discovery's address
+constexpr std::size_t kMaxWatches = 5;              // open at a time, as docs/platform.md states
 
 class WatchEndingsTest : public SteppedTest {
  protected:
@@ -53,6 +54,21 @@
                     });
     }
   }
+  // Makes discovery answer each new watch with the current list after this many seconds.
+  void serveEngineListsAfter(double seconds) {
+    discovery.script = [this, seconds](Peer& peer, const http1::Request&) {
+      for (const auto& accepted : discovery.peers) {
+        if (accepted.get() != &peer) continue;
+        loop.runAfter(Duration(seconds), [this, accepted] {
+          if (!accepted->closed) accepted->send(kStreamHead + chunkOf(list()));
+        });
+      }
+    };
+  }
+  std::size_t openWatchCount() const {
+    return static_cast<std::size_t>(std::count_if(discovery.peers.begin(), discovery.peers.end(),
+                                                  [](const auto& peer) { return !peer->closed; }));
+  }
   // Sets the decode engine to draining without notifying the open watches.
   void drainWithoutNotification() {
     ++index;
@@ -230,6 +246,72 @@
   }
 }
 
+// Guards against a node that closes each watch shortly before a slow discovery answers it, and so never hears
+// of a drain again.
+TEST_F(WatchEndingsTest, AppliesDrainWhenNewWatchesAreAnsweredSlowly) {
+  for (const double quietSeconds : {1.0, 13.0, 60.0}) {
+    for (const double answerSeconds : {0.1, 0.5, 1.0, 2.0, 3.0, 3.5}) {
+      draining = false;
+      serveEngineLists();
+      startNode();
+      ASSERT_TRUE(appliesListWithin(1));
+      sendEmptyLinesPeriodically(discovery);
+      advance(quietSeconds);
+      silent = true;  // for the open watch
+      serveEngineListsAfter(answerSeconds);
+      drainWithoutNotification();
+      EXPECT_TRUE(appliesListWithin(kPropagationLimit)) << quietSeconds << " s, " << answerSeconds << " s";
+      expectNothingReachesTheDecodeEngine();
+      silent = false;
+      node.reset();
+      runUntilIdle();
+    }
+  }
+}
+
+// As above, for a discovery that needs longer than the limit for its answer: it must be heard at all.
+TEST_F(WatchEndingsTest, AppliesDrainWhenNewWatchesAreAnsweredAfterTheLimit) {
+  for (const double answerSeconds : {5.0, 8.0, 20.0}) {
+    draining = false;
+    serveEngineLists();
+    startNode();
+    ASSERT_TRUE(appliesListWithin(1));
+    serveEngineListsAfter(answerSeconds);
+    drainWithoutNotification();
+    constexpr double kDetectionLimit = 2.5;  // until a second watch is opened
+    std::size_t mostOpen = 0;
+    EXPECT_TRUE(becomesTrueWithin(kDetectionLimit + answerSeconds, [&] {
+      mostOpen = std::max(mostOpen, openWatchCount());
+      return node->listIndex() == index;
+    })) << answerSeconds;
+    EXPECT_LE(mostOpen, kMaxWatches);
+    expectNothingReachesTheDecodeEngine();
+    node.reset();
+    runUntilIdle();
+  }
+}
+
+// The oldest unanswered watch stays open for a slow discovery; it must not be the only one that stays,
+// because a discovery that was down has lost it.
+TEST_F(WatchEndingsTest, AppliesDrainWhenASlowDiscoveryReturnsAfterLosingItsWatches) {
+  for (const double silentSeconds : {4.0, 12.0, 25.0, 70.0}) {
+    draining = silent = false;
+    serveEngineLists();
+    startNode();
+    ASSERT_TRUE(appliesListWithin(1));
+    silent = true;
+    breakWatches(true);
+    advance(silentSeconds);  // watches opened now are never answered
+    drainWithoutNotification();
+    constexpr double kAnswerSeconds = 3;
+    serveEngineListsAfter(kAnswerSeconds);
+    EXPECT_TRUE(appliesListWithin(kPropagationLimit)) << silentSeconds;
+    expectNothingReachesTheDecodeEngine();
+    node.reset();
+    runUntilIdle();
+  }
+}
+
 // Bytes of an object that never ends do not show that a watch is alive, and neither do blanks between
 // objects.
 TEST_F(WatchEndingsTest, AppliesDrainWhenOnlyUnfinishedObjectsArrive) {
