A restarted node holds requests while discovery, which has taken its watch, is slow

Seen by callers: a node starts again with the list that it had, and its agent needs 1 s for the first word.

Cause: a node was ready 0.3 s after its start without a word from discovery, and sent by the old list even before. It did not tell an agent that has taken the watch and is slow from one that cannot be reached. The record of the case: start 3.344 s, ready 3.662 s, list told 4.349 s, all sends to the engine between the last two.

Change: node::EngineListFreshness, without I/O, has the states since the start: confirmed, asked, not asked. While the question is taken and unanswered, for 5.5 s at most, the node is not ready, and the decision module (new event EngineListAwaited) does not start requests that can be started twice in time after it. What cannot wait, and all once the wait is over, goes by the old list, so that a discovery that is down refuses nobody. One that cannot be reached for 0.3 s is not waited for, as before. An empty line as first word confirms the list. The queue is not taken as the engines' pace meanwhile.

Why it works: the list that discovery has is applied before a held request is started.

BecomesReadyWhenDiscoveryAnswersOrTimesOut wanted a node ready 0.5 s after its start beside an agent that has taken the watch and is silent: the fault itself. Its successors want readiness at the answer, not at its head; 6 s at the latest beside a silent agent; 0.5 s where discovery is unreachable, which is new. The fixture's discovery now answers a watch with an empty line, as the protocol's agent does when nothing has changed; it sent a head and nothing else.

--- a/cmake/Program.cmake
+++ b/cmake/Program.cmake
@@ -45,7 +45,7 @@
                           src/frontend/request_validator.cpp src/frontend/resume_point.cpp src/frontend/health_service.cpp
                   LINK gannetcourse_router gannetcourse_grpc gannetcourse_resume gannetcourse_proto
                        PkgConfig::XXHASH)
-gannetcourse_component(driver SOURCES src/node/core_driver.cpp LINK gannetcourse_router gannetcourse_net)
+gannetcourse_component(driver SOURCES src/node/core_driver.cpp src/node/engine_list_freshness.cpp LINK gannetcourse_router gannetcourse_net)
 gannetcourse_component(node SOURCES src/node/node.cpp LINK gannetcourse_driver gannetcourse_engines gannetcourse_frontend)
 gannetcourse_component(http1 SOURCES src/http1/parser.cpp src/http1/connection_state.cpp src/http1/server.cpp
                                 src/http1/server_connection.cpp
--- a/include/gannetcourse/policy.h
+++ b/include/gannetcourse/policy.h
@@ -137,6 +137,13 @@
   std::vector<EngineEntry> entries;
 };
 
+/// Whether discovery has taken this router's question for the engine list and is expected to answer it soon.
+/// Meanwhile the list in use may be outdated, and requests that have time are not started. Not awaited at
+/// first.
+struct EngineListAwaited {
+  bool awaited = false;
+};
+
 /// A new request.
 struct RequestArrived {
   RequestId id;
@@ -213,8 +220,8 @@
   Settings settings;
 };
 
-using Event = std::variant<EngineListUpdate, RequestArrived, AttemptEnded, StreamStarted, ProbeEnded,
-                           ReservationResult, TimerFired, ClientDisconnected, SettingsChanged>;
+using Event = std::variant<EngineListUpdate, EngineListAwaited, RequestArrived, AttemptEnded, StreamStarted,
+                           ProbeEnded, ReservationResult, TimerFired, ClientDisconnected, SettingsChanged>;
 
 // ---- Actions ----
 
--- a/include/gannetcourse/router.h
+++ b/include/gannetcourse/router.h
@@ -257,6 +257,9 @@
 
   // ---- Discovery ----
   void onEngineListUpdate(Instant now, const EngineListUpdate& update);
+  /// Discovery has taken the question for the engine list (`awaited`), or has answered it or will not answer
+  /// soon. Requests that have time wait meanwhile, because the list in use may be outdated.
+  void onEngineListAwaited(Instant now, bool awaited);
 
   // ---- Clients ----
   void onRequest(Instant now, NewRequest request);
--- a/src/http1/client.h
+++ b/src/http1/client.h
@@ -47,6 +47,8 @@
 class ResponseHandler {
  public:
   virtual ~ResponseHandler() = default;
+  /// The connection is established, and the request has been passed to it.
+  virtual void onRequestSent() {}
   virtual void onHead(const ResponseHead& head) = 0;
   /// Called for each piece of the body as it arrives.
   virtual void onBody(std::string_view bytes) = 0;
--- a/src/http1/client_connection.cpp
+++ b/src/http1/client_connection.cpp
@@ -112,7 +112,9 @@
   if (body_ && body_->size() > kMaxCopiedBodyBytes) connection_.appendShared(body_);
   makeHead_ = nullptr;
   body_.reset();
+  const std::shared_ptr<ResponseHandler> handler = handler_;
   connection_.flush();
+  if (handler && handler == handler_) handler->onRequestSent();
 }
 
 // Sends the request in the next iteration, after pending events have been handled: the client may have
--- a/src/platform/discovery_watch.cpp
+++ b/src/platform/discovery_watch.cpp
@@ -59,9 +59,13 @@
         inputCharge_(watch.client_.memory(), net::MemoryUse::kEngineList) {}
 
   void setCall(http1::CallId call) { call_ = call; }
-  void recordActivity(Instant now) { lastActivityAt_ = now; }
+  void recordActivity(Instant now) {
+    lastActivityAt_ = now;
+    answered_ = true;
+  }
   Instant openedAt() const { return openedAt_; }
   Instant lastActivityAt() const { return lastActivityAt_; }
+  bool isTakenAndUnanswered() const { return taken_ && !answered_; }
   bool isReceivingObject(Instant now) const {
     return splitter_.hasPartialObject() && now - lastBytesAt_ <= kMaxPauseWithinObject;
   }
@@ -70,6 +74,11 @@
     if (watch_ != nullptr) std::exchange(watch_, nullptr)->client_.cancel(call_);
   }
 
+  void onRequestSent() override {
+    taken_ = true;
+    if (watch_ != nullptr) watch_->notifyProgress();
+  }
+
   void onHead(const http1::ResponseHead& head) override { statusOk_ = head.status == 200; }
 
   void onBody(std::string_view bytes) override {
@@ -81,7 +90,7 @@
     if (watch_ != nullptr &&
         splitter_.droppedObjects() != std::exchange(dropsLogged_, splitter_.droppedObjects()))
       watch_->logTooLarge();
-    if (alive && watch_ != nullptr) watch_->onActivity(*this);
+    if (alive && watch_ != nullptr) watch_->onKeepAlive(*this);
   }
 
   void onEnd(http1::CallResult, const std::string&) override {
@@ -109,6 +118,8 @@
   net::MemoryCharge inputCharge_;
   std::size_t dropsLogged_ = 0;
   bool statusOk_ = false;
+  bool taken_ = false;     // the request has been sent on an established connection
+  bool answered_ = false;  // an object or an empty line was received
 };
 
 DiscoveryWatch::DiscoveryWatch(net::Loop& loop, const net::Endpoint& endpoint, std::uint64_t resumeIndex,
@@ -211,6 +222,22 @@
   }
 }
 
+void DiscoveryWatch::onKeepAlive(Stream& stream) {
+  onActivity(stream);
+  toldNothingNew_ = !replacingActive_;  // otherwise something may have changed that was not read
+  notifyProgress();
+}
+
+bool DiscoveryWatch::isQuestionTaken() const {
+  return (active_ && active_->isTakenAndUnanswered()) ||
+         std::any_of(replacements_.begin(), replacements_.end(),
+                     [](const StreamPtr& stream) { return stream->isTakenAndUnanswered(); });
+}
+
+void DiscoveryWatch::notifyProgress() {
+  if (onProgress_) onProgress_();
+}
+
 // Makes the replacement the active stream and closes all others.
 void DiscoveryWatch::useReplacement(Stream& stream) {
   const auto found = std::find_if(replacements_.begin(), replacements_.end(),
@@ -234,6 +261,7 @@
   }
   openStreamAfter(backoff_);
   backoff_ = std::min(kMaxBackoff, 2 * backoff_);
+  notifyProgress();
 }
 
 void DiscoveryWatch::checkLiveness() {
--- a/src/platform/discovery_watch.h
+++ b/src/platform/discovery_watch.h
@@ -7,6 +7,7 @@
 #include <memory>
 #include <random>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "http1/client.h"
@@ -24,6 +25,7 @@
  public:
   using ObjectHandler = std::function<void(const std::string& object)>;
   using LogHandler = std::function<void(const std::string& text)>;
+  using ProgressHandler = std::function<void()>;
 
   /// Opens the watch at `endpoint`, resuming from version `resumeIndex` of the list. `seed` seeds the jitter
   /// of the backoff; `log` may be null.
@@ -34,6 +36,14 @@
   DiscoveryWatch(const DiscoveryWatch&) = delete;
   DiscoveryWatch& operator=(const DiscoveryWatch&) = delete;
 
+  /// Called whenever isQuestionTaken() or hasToldNothingNew() may have changed.
+  void setProgressHandler(ProgressHandler onProgress) { onProgress_ = std::move(onProgress); }
+  /// Whether discovery has accepted a stream on which it has delivered nothing yet.
+  bool isQuestionTaken() const;
+  /// Whether an empty line has told that nothing has changed since the version from which the stream resumed,
+  /// or since the last object on it.
+  bool hasToldNothingNew() const { return toldNothingNew_; }
+
   /// Sets the version of the list from which the next stream resumes.
   void setResumeIndex(std::uint64_t index) { resumeIndex_ = index; }
   /// Opens the watch at another endpoint. The old stream is used until the new one delivers.
@@ -56,6 +66,8 @@
   void logTooLarge();
   void checkLiveness();
   void onActivity(Stream& stream);
+  void onKeepAlive(Stream& stream);
+  void notifyProgress();
   void useReplacement(Stream& stream);
   void onStreamEnded(const StreamPtr& stream);
 
@@ -65,12 +77,14 @@
   std::mt19937_64 random_;
   ObjectHandler onObject_;
   LogHandler log_;
+  ProgressHandler onProgress_;
   http1::Client client_;
   StreamPtr active_;
   std::vector<StreamPtr> replacements_;  // oldest first; not answered yet; empty while active_ is null
   bool snapshotRequested_ = false;
   bool replacingActive_ = false;  // active_ is to be replaced even if it still delivers
   bool silenceLogged_ = false;
+  bool toldNothingNew_ = false;
   std::uint64_t watchesOpened_ = 0, snapshotRequests_ = 0;
   Duration backoff_;
   net::TimerId reopenTimer_ = 0, livenessTimer_ = 0;
--- a/src/platform/node.cpp
+++ b/src/platform/node.cpp
@@ -18,11 +18,8 @@
 const Duration kMinDrainDuration{1.2};
 const Duration kStatisticsInterval{10};
 const Duration kResponseMargin{0.01};
-// A node with engines in its configuration becomes ready after the first list from discovery, or after this
-// time without one. It waits because the list in the configuration may be outdated.
-const Duration kDiscoveryWait{0.3};
-// As kDiscoveryWait, for a node without engines in its configuration. After this time the node becomes ready
-// without engines, and rejects requests with a Retry-After.
+// A node without engines in its configuration becomes ready after this time without a list, and then rejects
+// requests with a Retry-After.
 const Duration kDiscoveryWaitWithoutEngines{5};
 
 // Free memory is returned to the kernel once this much less is held than at the last peak, and after a list
@@ -74,17 +71,19 @@
               driverHooks(record)),
       engineClient_(loop, engineConnectionOptions(configuration_, limitsOf(configuration_), memory_),
                     driver_),
-      frontend_(loop, configuration_, driver_, memory_) {
+      frontend_(loop, configuration_, driver_, memory_),
+      freshness_(loop.now()) {
   driver_.attach(engineClient_);
   engineClient_.setStateLeaseLimit(configuration_.policySettings.stateLeaseLimit);
   engineClient_.setReleaseLog(
       [this](const std::string& level, const std::string& text) { log_("engines", level, text); });
   applyLimits();
   applyKnownEngineList();
-  const bool knowsEngines = engineClient_.knownEngineCount() > 0;
-  readyTimer_ = loop_.runAfter(knowsEngines ? kDiscoveryWait : kDiscoveryWaitWithoutEngines,
-                               [this] { becomeReady("without an answer from discovery"); });
+  readyTimer_ = loop_.runAfter(kDiscoveryWaitWithoutEngines, [this] {
+    if (engineClient_.knownEngineCount() == 0) becomeReady("without an answer from discovery");
+  });
   openWatch();
+  updateFreshness();
   logStatistics();
   checkMemory();
 }
@@ -94,6 +93,7 @@
   loop_.cancelTimer(statisticsTimer_);
   loop_.cancelTimer(readyTimer_);
   loop_.cancelTimer(memoryTimer_);
+  loop_.cancelTimer(freshnessTimer_);
 }
 
 node::CoreDriver::Hooks Node::driverHooks(const std::function<void(const router::Record&)>& record) {
@@ -117,6 +117,23 @@
       loop_, configuration_.discoveryEndpoint, listVersion_.latestIndex(), configuration_.policySettings.seed,
       [this](const std::string& object) { onDiscoveryObject(object); },
       [this](const std::string& text) { log_("discovery", "info", text); }, memory_);
+  watch_->setProgressHandler([this] { updateFreshness(); });
+}
+
+// Holds requests while discovery is about to answer the node's first question. The node becomes ready once it
+// is not awaited any more.
+void Node::updateFreshness() {
+  if (watch_->hasToldNothingNew()) freshness_.confirm();
+  freshness_.setQuestionTaken(watch_->isQuestionTaken());
+  const Instant now = loop_.now();
+  const bool awaited = freshness_.isAwaited(now);
+  if (awaited != std::exchange(listAwaited_, awaited))
+    driver_.step([awaited](router::Core& core, Instant at) { core.onEngineListAwaited(at, awaited); });
+  loop_.cancelTimer(std::exchange(freshnessTimer_, 0));
+  if (const std::optional<Instant> change = freshness_.nextChange(now))
+    freshnessTimer_ = loop_.runAt(*change, [this] { updateFreshness(); });
+  if (awaited || engineClient_.knownEngineCount() == 0) return;
+  becomeReady(freshness_.isConfirmed() ? "with discovery's list" : "without an answer from discovery");
 }
 
 void Node::onDiscoveryObject(const std::string& text) {
@@ -134,6 +151,8 @@
   dropEnginesBeyondMemory(*message);
   applyEngineList(*message, message->scope());
   if (text.size() > kLongListBytes) trimHeap();
+  freshness_.confirm();
+  updateFreshness();
   becomeReady("with discovery's list");
 }
 
--- a/src/platform/node.h
+++ b/src/platform/node.h
@@ -8,6 +8,7 @@
 #include <string>
 
 #include "node/core_driver.h"
+#include "node/engine_list_freshness.h"
 #include "platform/configuration.h"
 #include "platform/discovery_watch.h"
 #include "platform/engine_client.h"
@@ -58,6 +59,7 @@
   void openWatch();
   void onDiscoveryObject(const std::string& text);
   void onUnreadableObject(const char* reason);
+  void updateFreshness();
   void applyKnownEngineList();
   void applyEngineList(const EngineListMessage& message, EngineListUpdate::Scope scope);
   void dropEnginesBeyondMemory(EngineListMessage& message);
@@ -76,13 +78,15 @@
   EngineClient engineClient_;
   Frontend frontend_;
   EngineListVersion listVersion_;
+  node::EngineListFreshness freshness_;
+  bool listAwaited_ = false;
   std::unique_ptr<DiscoveryWatch> watch_;
   bool listening_ = true, ready_ = false;
   bool droppedEnginesLogged_ = false;
   Instant nextShortageLogAt_{};
   std::function<void()> onDrained_;  // null unless the node is draining
   Instant drainStartedAt_{};
-  net::TimerId statisticsTimer_ = 0, readyTimer_ = 0, memoryTimer_ = 0;
+  net::TimerId statisticsTimer_ = 0, readyTimer_ = 0, memoryTimer_ = 0, freshnessTimer_ = 0;
 };
 
 }  // namespace gannetcourse::platform
--- a/src/policy/admission_control.cpp
+++ b/src/policy/admission_control.cpp
@@ -29,6 +29,10 @@
   return request.deadline - plan.work() - costs_.prefillDelay();
 }
 
+bool AdmissionControl::canAwaitEngineList(const Request& request, const PrefillPlan& plan) const {
+  return context_.now() + plan.timeToFirstToken() + costs_.prefillDelay() < latestStart(request, plan);
+}
+
 // If more work has come in than engines can do, the queue does not get shorter, and whoever joins it only
 // adds to the wait of all. Then a request is kept only as long as it may be started in one of the next
 // passes.
--- a/src/policy/engine_registry.h
+++ b/src/policy/engine_registry.h
@@ -16,6 +16,9 @@
 
   /// Applies an update of the list; its scope must not be kFetchFailed.
   void apply(const EngineListUpdate& update);
+  /// Sets whether discovery is about to answer this router's question for the list.
+  void setListAwaited(bool awaited) { listIsAwaited_ = awaited; }
+  bool isListAwaited() const { return listIsAwaited_; }
   /// Deletes the records of engines that were removed from the list and have no attempt in flight.
   void removeIdle();
 
@@ -33,6 +36,7 @@
 
   SlowStart& slowStart_;
   std::map<EngineId, Engine> engines_;
+  bool listIsAwaited_ = false;
   bool listIsCurrent_ = false;  // an update other than a cached list was received
 };
 
--- a/src/policy/policy.cpp
+++ b/src/policy/policy.cpp
@@ -46,6 +46,7 @@
   struct Dispatcher {
     Impl& impl;
     void operator()(const EngineListUpdate& event) const { impl.onEngineListUpdate(event); }
+    void operator()(const EngineListAwaited& event) const { impl.onEngineListAwaited(event); }
     void operator()(const RequestArrived& event) const { impl.onRequestArrived(event); }
     void operator()(const AttemptEnded& event) const { impl.onAttemptEnded(event); }
     void operator()(const StreamStarted& event) const { impl.onStreamStarted(event); }
@@ -58,6 +59,7 @@
   };
 
   void onEngineListUpdate(const EngineListUpdate& update);
+  void onEngineListAwaited(const EngineListAwaited& event);
   void onRequestArrived(const RequestArrived& arrival);
   void onAttemptEnded(const AttemptEnded& end);
   void onStreamStarted(const StreamStarted& start);
@@ -111,6 +113,12 @@
   doHousekeeping();
 }
 
+void Policy::Impl::onEngineListAwaited(const EngineListAwaited& event) {
+  const bool wasAwaited = registry_.isListAwaited();
+  registry_.setListAwaited(event.awaited);
+  if (wasAwaited && !event.awaited) lifecycle_.dispatchQueue();
+}
+
 void Policy::Impl::onRequestArrived(const RequestArrived& arrival) {
   prompts_.recordPrompt(arrival.promptTokens);
   lifecycle_.open(arrival);
--- a/src/policy/request_lifecycle.cpp
+++ b/src/policy/request_lifecycle.cpp
@@ -92,6 +92,7 @@
     finish(request);
     return true;
   }
+  if (modules_.registry.isListAwaited() && modules_.admission.canAwaitEngineList(request, plan)) return false;
   if (!modules_.admission.isAdmitted(plan)) return false;
   if (modules_.probing.awaitsQueueProbe(request, *plan.engine)) return false;
   startPrefill(request, plan);
@@ -217,7 +218,8 @@
 void RequestLifecycle::checkAll() {
   modules_.health.clearOverdue();
   modules_.admission.recordQueue(queue_.isEmpty());
-  modules_.serviceRate.recordQueue(queue_.isEmpty());
+  // While the engine list is awaited, the queue does not tell how much engines take.
+  modules_.serviceRate.recordQueue(queue_.isEmpty() || modules_.registry.isListAwaited());
   bool isIdle = queue_.isEmpty();
   for (auto& [id, request] : requests_) {
     check(request);
--- a/src/router/core.cpp
+++ b/src/router/core.cpp
@@ -271,6 +271,10 @@
   step(now, [&](Impl& impl) { impl.onEngineListUpdate(update); });
 }
 
+void Core::onEngineListAwaited(Instant now, bool awaited) {
+  step(now, [&](Impl& impl) { impl.policy().feed(EngineListAwaited{awaited}); });
+}
+
 void Core::onRequest(Instant now, NewRequest request) {
   step(now, [&](Impl& impl) { impl.onRequest(std::move(request)); });
 }
--- a/tests/platform_fixture.h
+++ b/tests/platform_fixture.h
@@ -53,7 +53,7 @@
       : loop(std::move(clock)),
         prefillEngine(loop, [](Peer& p, const http1::Request& r) { answerPrefill(p, r); }),
         decodeEngine(loop, [](Peer& p, const http1::Request& r) { answerDecode(p, r); }),
-        discovery(loop, [](Peer& p, const http1::Request&) { p.send(kStreamHead); }) {}
+        discovery(loop, [](Peer& p, const http1::Request&) { p.send(kStreamHead + chunkOf("\n")); }) {}
   ~PlatformTest() override {
     node.reset();
     loop.runOnce(Duration(0));
