Requests read behind another one on their connection are answered when the node drains

Cause: respond, beginStream and endStream took "the server drains" for "this is the connection's last response". Its end clears the parser, and with it the requests that wait.

Change: while the server drains, a response is the last one only if nothing that was read waits behind it. What waits is dispatched and refused by the core at once; the last refusal carries Connection: close. A connection with something waiting counts as busy, so the process does not end before a slow client has taken the response in front.

Tried and left out: sparing such connections from eviction. Clients that read nothing would hold every place (ClientMemoryTest.StaysWithinItsLimitWhileConnectionsAreClosedForNewOnes failed).

--- a/src/http1/server.cpp
+++ b/src/http1/server.cpp
@@ -142,9 +142,8 @@
 }
 
 std::size_t Server::busyCount() const {
-  const auto busy = std::count_if(connections_.begin(), connections_.end(), [](const auto& connection) {
-    return !connection->state().isBetweenRequests();
-  });
+  const auto busy = std::count_if(connections_.begin(), connections_.end(),
+                                  [](const auto& connection) { return connection->isBusy(); });
   const std::size_t listener = closeListenerBy_ ? 1 : 0;
   return static_cast<std::size_t>(busy) + listener;
 }
--- a/src/http1/server_connection.cpp
+++ b/src/http1/server_connection.cpp
@@ -71,7 +71,7 @@
 
 // ---- Responses ----
 void ServerConnection::respond(int status, std::string_view fields, std::string_view body, bool close) {
-  const bool last = close || !keepAlive_ || server_.draining_;
+  const bool last = close || isLastResponse();
   std::string text = "HTTP/1.1 " + std::to_string(status) + " " + reasonPhrase(status) + "\r\n";
   text.append(fields).append("Content-Length: ").append(std::to_string(body.size())).append("\r\n");
   if (last) text += "Connection: close\r\n";
@@ -83,7 +83,7 @@
 void ServerConnection::beginStream(std::string_view fields) {
   std::string text = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n";
   text.append(fields);
-  if (!keepAlive_ || server_.draining_) text.append("Connection: close\r\n");
+  if (isLastResponse()) text.append("Connection: close\r\n");
   text.append("\r\n");
   connection_.append(text);
 }
@@ -100,7 +100,7 @@
 
 void ServerConnection::endStream() {
   connection_.append("0\r\n\r\n");
-  finishResponse(!keepAlive_ || server_.draining_);
+  finishResponse(isLastResponse());
 }
 
 void ServerConnection::finishResponse(bool last) {
@@ -110,13 +110,20 @@
   connection_.flush();
   if (!connection_.isOpen()) return;
   if (state_.phase() == ServerPhase::kFlushing) return continueAfterFlush();
-  const bool hasInput = parser_.hasPartialRequest() || connection_.isReadingPaused();
-  if (state_.phase() != ServerPhase::kIdle || !hasInput) return;
+  if (state_.phase() != ServerPhase::kIdle || !hasPendingInput()) return;
   server_.loop_.defer([this, alive = server_.alive_, removed = removed_] {
     if (*alive && !*removed && state_.phase() == ServerPhase::kIdle) parsePipelined();
   });
 }
 
+bool ServerConnection::isLastResponse() const {
+  return !keepAlive_ || (server_.draining_ && !hasPendingInput());
+}
+
+bool ServerConnection::hasPendingInput() const {
+  return parser_.hasPartialRequest() || connection_.isReadingPaused();
+}
+
 // ---- State machine ----
 void ServerConnection::handleEvent(ServerEvent event) {
   const ServerPhase before = state_.phase();
@@ -293,7 +300,11 @@
   if (isOutputFull()) return;  // onWritable() calls this again
   setReadingPaused(isPipelineFull());
   // Resumed reading may have closed the connection or dispatched the request.
-  if (state_.phase() != ServerPhase::kIdle || !parser_.hasPartialRequest()) return;
+  if (state_.phase() != ServerPhase::kIdle) return;
+  if (!parser_.hasPartialRequest()) {
+    if (server_.draining_) handleEvent(ServerEvent::kDrain);
+    return;
+  }
   handleEvent(ServerEvent::kBytesReceived);
   parseInput();
 }
@@ -323,6 +334,16 @@
   return requestsDispatched_ != before;
 }
 
+// A connection with requests that have been read and wait is closed with the response to the last of them.
+void ServerConnection::drain() {
+  if (!hasPendingInput()) return handleEvent(ServerEvent::kDrain);
+  if (state_.phase() == ServerPhase::kIdle) parsePipelined();
+}
+
+bool ServerConnection::isBusy() const {
+  return !state_.isBetweenRequests() || (state_.phase() == ServerPhase::kIdle && hasPendingInput());
+}
+
 void ServerConnection::closeUnlessRequestHasBegun() {
   if (state_.isBetweenRequests() && connection_.isConnected()) connection_.readNow();
   if (state_.isBetweenRequests()) handleEvent(ServerEvent::kTimedOut);
--- a/src/http1/server_connection.h
+++ b/src/http1/server_connection.h
@@ -33,7 +33,9 @@
   // ---- Called by its server ----
   /// Closes at once and removes the connection from its server.
   void close();
-  void drain() { handleEvent(ServerEvent::kDrain); }
+  void drain();
+  /// Whether a request is being received or answered, or one that has been read waits.
+  bool isBusy() const;
   /// Reads pending input. True if that completed a request; the request has then been dispatched.
   bool readPendingRequest();
   /// Reads pending input, and closes the connection if no request has begun.
@@ -69,6 +71,11 @@
   void performAction(ServerAction action, ServerEvent event);
   Instant phaseDeadline() const;
 
+  // Whether the connection ends with the response in progress. A drain leaves it open for the requests that
+  // have been read behind that one: each of them is owed a response.
+  bool isLastResponse() const;
+  // Whether bytes that follow the request in progress have been read, or reading them is paused.
+  bool hasPendingInput() const;
   // Whether pending output has reached the watermark or, while memory is short, the fair part. The client's
   // next request is then not parsed until the client reads, so that pending responses stay bounded.
   bool isOutputFull() const;
--- a/tests/shutdown_test.cpp
+++ b/tests/shutdown_test.cpp
@@ -86,6 +86,59 @@
   EXPECT_TRUE(peer->hasReceived("0\r\n\r\n"));
 }
 
+// Requests that have been read behind another one on their connection are owed a response when the node
+// drains: they were discarded, and the connection was closed after the first response.
+TEST_F(ShutdownTest, AnswersRequestsThatWaitBehindAnotherWhenDrainBegins) {
+  for (const int waiting : {1, 2, 20}) {
+    drained = 0;
+    startNode();
+    const auto peer = startStream("first" + std::to_string(waiting));
+    for (int i = 0; i < waiting; ++i) peer->send(chatRequest("w" + std::to_string(waiting * 100 + i)));
+    runUntilIdle();
+    drain();
+    latestDecodePeer().send(chunkOf(kDone) + "0\r\n\r\n");
+    EXPECT_TRUE(shutdownCompletes());
+    runUntilIdle();
+    int responses = 0;
+    for (std::size_t at = 0; (at = peer->received.find("HTTP/1.1 503", at)) != std::string::npos; ++at)
+      ++responses;
+    EXPECT_EQ(responses, waiting);
+    std::size_t closes = 0;
+    for (std::size_t at = 0; (at = peer->received.find("Connection: close", at)) != std::string::npos; ++at)
+      ++closes;
+    EXPECT_EQ(closes, 1U);  // on the last response only
+    EXPECT_TRUE(peer->closed);
+    node.reset();
+    runUntilIdle();
+  }
+}
+
+// As above, for a client that is slow to take the response in front.
+TEST_F(ShutdownTest, AnswersWaitingRequestsOfSlowClientWhenDrainBegins) {
+  std::string stream = kStreamHead;
+  for (int i = 0; i < 15; ++i) stream += chunkOf(eventOf(std::string(16000, 'y')));
+  decodeEngine.script = [stream](Peer& peer, const http1::Request& request) {
+    if (!answerRelease(peer, request)) peer.send(stream + chunkOf(kDone) + "0\r\n\r\n");
+  };
+  startNode();
+  RawSocket slow;
+  slow.shrinkReceiveBuffer();
+  ASSERT_TRUE(slow.connect(node->port()));
+  runUntilIdle();
+  shrinkSendBufferOfPeer(slow);
+  slow.send(chatRequest("long") + chatRequest("waiting"));
+  advance(0.1);
+  drain();
+  std::string received;
+  for (int i = 0; i < 2000 && drained == 0; ++i) {
+    received += slow.receive();
+    advance(0.005);
+  }
+  received += slow.receive();
+  EXPECT_EQ(drained, 1);
+  EXPECT_NE(received.find("HTTP/1.1 503"), std::string::npos);
+}
+
 // When the listener closes, one request is in the kernel's receive buffer and one connection is in its accept
 // queue. Neither was reported to the event loop; both must be answered.
 TEST_F(ShutdownTest, AnswersRequestsInKernelQueuesWhenListenerCloses) {
