Urgent requests go before those that wait for the engine list

Callers: while a restarted node waited for a slow discovery, a request with little time left that came behind 16 or more waiting ones was not started by the old list: it got 503 at its last moment. Those that can wait were counted as "the engines take no more" (16 per pass) and as work ahead of it.

Now a request that waits for the list neither uses up the pass nor is work ahead of one that cannot wait, and one that could not be in time behind the waiting work does not wait for the list.

RequestLifecycle.StartsUrgentRequestBehindManyThatAwaitTheEngineList failed before (no start, one refusal).

--- a/src/policy/admission_control.cpp
+++ b/src/policy/admission_control.cpp
@@ -29,8 +29,9 @@
   return request.deadline - plan.work() - costs_.prefillDelay();
 }
 
-bool AdmissionControl::canAwaitEngineList(const Request& request, const PrefillPlan& plan) const {
-  return context_.now() + plan.timeToFirstToken() + costs_.prefillDelay() < latestStart(request, plan);
+bool AdmissionControl::canAwaitEngineList(const Request& request, Duration workAhead) const {
+  const Duration attempt = request.deadline - request.latestStart;
+  return context_.now() + workAhead / rate_.get() + attempt < request.latestStart;
 }
 
 // If more work has come in than engines can do, the queue does not get shorter, and whoever joins it only
--- a/src/policy/admission_control.h
+++ b/src/policy/admission_control.h
@@ -35,9 +35,9 @@
   bool isInTime(const Request& request, const PrefillPlan& plan) const;
   /// The latest start at which a plan of this kind is in time, if the engine has no queue then.
   Instant latestStart(const Request& request, const PrefillPlan& plan) const;
-  /// Whether a request can wait for the current engine list and then still be started twice in time, since
-  /// its first attempt may fail.
-  bool canAwaitEngineList(const Request& request, const PrefillPlan& plan) const;
+  /// Whether a queued request can wait for the current engine list and then still be started twice in time
+  /// behind `workAhead`, since its first attempt may fail.
+  bool canAwaitEngineList(const Request& request, Duration workAhead) const;
   /// Whether the request can be expected to be in time if it waits behind `workAhead`, the prefill work that
   /// goes before it.
   bool canWaitBehind(const Request& request, Duration workAhead) const;
--- a/src/policy/request_lifecycle.cpp
+++ b/src/policy/request_lifecycle.cpp
@@ -53,7 +53,7 @@
   const bool areEnginesKnown = !modules_.registry.engines().empty();
   if (!areEnginesKnown || !modules_.admission.canWaitBehind(request, Duration(0))) {
     finish(request);
-  } else if (queue_.isFirst(request)) {
+  } else if (queue_.isFirst(request) && !awaitsEngineList(request, Duration(0))) {
     dispatch(request, plan);
   }
 }
@@ -69,12 +69,23 @@
   return plan;
 }
 
+// Whether the request, with this work before it, is kept for the engine list that discovery is about to send.
+bool RequestLifecycle::awaitsEngineList(const Request& request, Duration workAhead) const {
+  return modules_.registry.isListAwaited() && modules_.admission.canAwaitEngineList(request, workAhead);
+}
+
+// A request that cannot wait for the engine list goes before those that can.
 void RequestLifecycle::dispatchQueue() {
   int undispatched = 0;
+  Duration awaitingWork{0};
   for (const RequestQueue::Entry& entry : queue_.inOrder()) {
     Request& request = *entry.request;
-    if (!modules_.admission.canWaitBehind(request, entry.workAhead)) {
+    const bool awaitsList = awaitsEngineList(request, entry.workAhead);
+    const Duration workAhead = awaitsList ? entry.workAhead : entry.workAhead - awaitingWork;
+    if (!modules_.admission.canWaitBehind(request, workAhead)) {
       finish(request);
+    } else if (awaitsList) {
+      awaitingWork += request.prefillWork;
     } else if (undispatched < kMaxUndispatchedPerPass &&
                !dispatch(request, modules_.prefillSelector.select(request))) {
       ++undispatched;
@@ -92,7 +103,6 @@
     finish(request);
     return true;
   }
-  if (modules_.registry.isListAwaited() && modules_.admission.canAwaitEngineList(request, plan)) return false;
   if (!modules_.admission.isAdmitted(plan)) return false;
   if (modules_.probing.awaitsQueueProbe(request, *plan.engine)) return false;
   startPrefill(request, plan);
--- a/src/policy/request_lifecycle.h
+++ b/src/policy/request_lifecycle.h
@@ -68,6 +68,7 @@
 
   void enqueue(Request& request);
   PrefillPlan enqueueWithoutDispatch(Request& request);
+  bool awaitsEngineList(const Request& request, Duration workAhead) const;
   bool dispatch(Request& request, const PrefillPlan& plan);
   void startPrefill(Request& request, const PrefillPlan& plan);
   void startDecodeOrWait(Request& request);
--- a/tests/request_lifecycle_test.cpp
+++ b/tests/request_lifecycle_test.cpp
@@ -55,6 +55,31 @@
   }
 }
 
+// Guards against urgent requests that are given up behind many that wait for discovery, as if the engines
+// were taking none.
+TEST(RequestLifecycle, StartsUrgentRequestBehindManyThatAwaitTheEngineList) {
+  constexpr int kPatientRequests = 20;
+  Settings settings = twoStageSettings();
+  settings.tenants = {{0.5, 0.01}, {0.5, 100.0}};  // the first one is over its quota with its second request
+  PolicyHost host(settings);
+  host.updateEngineList(1, {engineEntry(1, Role::kPrefill), engineEntry(2, Role::kDecode)});
+  host.feed(1, EngineListAwaited{true});
+  const auto sendRequest = [&](const std::string& id, std::size_t tenant, double secondsLeft) {
+    RequestArrived arrival = makeRequest(id, 100, 0);
+    arrival.tenant = tenant;
+    arrival.timeUntilDeadline = Duration(secondsLeft);
+    host.feed(1.1, arrival);
+  };
+  for (int i = 0; i < kPatientRequests; ++i) sendRequest("patient" + std::to_string(i), 1, 20);
+  sendRequest("patient over quota", 0, 20);
+  sendRequest("urgent over quota", 0, 1);
+  host.runUntil(1.1 + 0.9);
+  const auto starts = actionsOf<StartAttempt>(host.allActions);
+  EXPECT_FALSE(starts.empty());
+  for (const StartAttempt& start : starts) EXPECT_EQ(start.id.value, "urgent over quota");
+  EXPECT_TRUE(actionsOf<RejectRequest>(host.allActions).empty());
+}
+
 TEST(RequestLifecycle, RespondsBeforeTheDeadlineWhenAnAttemptIsStillInFlight) {
   Settings settings = twoStageSettings();
   settings.cancelAllowed = false;
