Long answers are passed on whole: a chunked response has no limit in all

Cause: Beast counts the chunks of a message together against the limit of a body; ours was meant for each chunk. ResponseParser lifts it once the head says that the body is chunked; each chunk keeps its own limit. Requests keep theirs.

Evidence: cut at 256 KiB after 0.66 s (events of 20 KB) and 4.1 s (small ones).

--- a/src/http1/parser.cpp
+++ b/src/http1/parser.cpp
@@ -113,6 +113,11 @@
 
  private:
   void on_response_impl(int code, StringView, int, ErrorCode&) override { status = code; }
+  // Beast counts all chunks together against the limit of a body, which would end long streams.
+  void on_header_impl(ErrorCode& error) override {
+    if (chunked()) body_limit(OptionalLength());
+    MessageParser::on_header_impl(error);
+  }
 };
 
 // Parses `buffer` up to the end of a message at most, and removes the parsed bytes from it.
--- a/src/http1/parser.h
+++ b/src/http1/parser.h
@@ -14,8 +14,9 @@
 
 /// Size limits of a message, in bytes.
 struct Limits {
-  std::uint32_t maxHeadBytes = 16 * 1024;      ///< Start line and header fields.
-  std::uint64_t maxBodyBytes = 256 * 1024;     ///< A body, and each chunk; 0 = unlimited.
+  std::uint32_t maxHeadBytes = 16 * 1024;  ///< Start line and header fields.
+  std::uint64_t maxBodyBytes =
+      256 * 1024;  ///< A request's body, a response's unless chunked, each chunk; 0 = unlimited.
   std::size_t maxPipelinedBytes = 512 * 1024;  ///< Input buffered behind the current message.
 };
 
--- a/tests/http1_test.cpp
+++ b/tests/http1_test.cpp
@@ -140,6 +140,22 @@
   EXPECT_FALSE(reusable);
 }
 
+// Guards against long streams that are cut off once all their chunks together are as long as a body may be.
+TEST(ResponseParser, LimitsEachChunkButNotTheirNumber) {
+  constexpr std::size_t kStep = 5000, kChunkBytes = 0x1000;
+  const std::string head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+  const std::size_t chunks = 2 * Limits{}.maxBodyBytes / kChunkBytes;
+  std::string stream = head;
+  for (std::size_t i = 0; i < chunks; ++i) stream += "1000\r\n" + std::string(kChunkBytes, 'a') + "\r\n";
+  const ParsedResponse response = responseOf(stream + "0\r\n\r\n", kStep);
+  EXPECT_EQ(response.state, ParseState::kComplete);
+  EXPECT_EQ(response.body.size(), chunks * kChunkBytes);
+  const std::string announced = std::to_string(Limits{}.maxBodyBytes + 1);
+  for (const std::string& bytes :
+       {head + "40001\r\n", "HTTP/1.1 200 OK\r\nContent-Length: " + announced + "\r\n\r\n"})
+    EXPECT_EQ(responseOf(bytes, kStep).state, ParseState::kMalformed) << bytes;
+}
+
 TEST(ResponseParser, RejectsMalformedResponse) {
   const std::string head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
   for (const std::string& bytes :
--- a/tests/stream_endings_test.cpp
+++ b/tests/stream_endings_test.cpp
@@ -150,6 +150,20 @@
   EXPECT_TRUE(peer->hasReceived("\r\n0\r\n\r\n"));
 }
 
+// Guards against long answers that are cut off because of the bytes that they have in all.
+TEST_F(StreamEndingsTest, DeliversStreamOfManyEventsWhole) {
+  constexpr int kEvents = 20000;
+  const auto peer = startStream(kStreamHead + chunkOf(eventOf("first")));
+  for (int i = 0; i < kEvents; ++i) {
+    latestDecodePeer().send(chunkOf(eventOf("n" + std::to_string(i))));
+    if (i % 50 == 0) advance(0.02);
+  }
+  latestDecodePeer().send(chunkOf(kDone) + kLastChunk);
+  runUntilIdle();
+  EXPECT_TRUE(isComplete(*peer));
+  EXPECT_TRUE(peer->hasReceived("n" + std::to_string(kEvents - 1)));
+}
+
 // An engine that hangs after an event must not keep its client waiting for more than 5 s.
 TEST_F(StreamEndingsTest, ClosesStreamWhenEngineHangsAfterAnEvent) {
   const auto peer = startStream(kStreamHead + chunkOf(eventOf("a")));
