An id that may have run is not run again when it comes after its client left

Callers: an at-most-once request whose client left during the write, and came again under its id, was written twice.

Cause: what a request may have done was forgotten with the request.

--- a/src/router/attempt_tracker.cpp
+++ b/src/router/attempt_tracker.cpp
@@ -58,12 +58,21 @@
 Call AttemptTracker::close(CallKey key, Outcome outcome) {
   Call call = calls_.extract(key).mapped();
   context_.guard.onAttemptEnded(context_.now, call.request->key, outcome);
+  if (mayHaveExecuted(call.kind, outcome)) recordExecution(call);
   context_.timers.cancel(call.timeout);
   call.request->callInFlight = 0;
   requests_.touch(*call.request);
   return call;
 }
 
+void AttemptTracker::recordExecution(const Call& call) {
+  const NewRequest& arrival = call.request->arrival;
+  const bool isIdempotent =
+      context_.settings.classes.at(arrival.classIndex).idempotency == Idempotency::kIdempotent;
+  if (!isIdempotent && !arrival.id.empty())
+    context_.executions.record(context_.now, arrival.id, call.startedAt);
+}
+
 std::optional<AttemptEnded> AttemptTracker::cancel(Request& request, Outcome outcome, const char* reason) {
   const CallKey key = request.callInFlight;
   if (key == 0) return std::nullopt;
--- a/src/router/attempt_tracker.h
+++ b/src/router/attempt_tracker.h
@@ -42,6 +42,7 @@
 
  private:
   CallKey open(Request& request, const StartAttempt& attempt, CallKind kind, Duration timeout);
+  void recordExecution(const Call& call);
 
   CoreContext& context_;
   RecordLog& log_;
--- a/src/router/core.cpp
+++ b/src/router/core.cpp
@@ -69,6 +69,8 @@
   // ---- Clients ----
   void onRequest(NewRequest arrival) {
     Request& request = accept(std::move(arrival));
+    if (!request.arrival.resumedStream && !mayExecute(request))
+      return completion_.respond(request, FinalStatus::kFailed, "a request with this id may have run");
     if (isDraining_) return completion_.respond(request, FinalStatus::kRejected, "node is draining");
     request.timeout =
         context_.timers.schedule(request.deadline - context_.options.responseMargin * kTimeoutMarginShare,
@@ -195,6 +197,11 @@
     return request;
   }
 
+  bool mayExecute(const Request& request) const {
+    const ClassSettings& classSettings = context_.settings.classes.at(request.arrival.classIndex);
+    return context_.executions.mayExecute(request.arrival.id, classSettings, request.deadline);
+  }
+
   // The first token shows that the decode engine has taken the state.
   void onFirstToken(Call& call) {
     Request& request = *call.request;
--- a/src/router/core_context.h
+++ b/src/router/core_context.h
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "gannetcourse/router.h"
+#include "router/execution_history.h"
 #include "router/invariant_guard.h"
 #include "router/request.h"
 #include "router/timer_queue.h"
@@ -37,6 +38,7 @@
   Counters counters;
   TimerQueue timers;
   InvariantGuard guard;
+  ExecutionHistory executions;  ///< Of requests whose id the host has specified.
 };
 
 }  // namespace gannetcourse::router
--- a/src/router/invariant_guard.cpp
+++ b/src/router/invariant_guard.cpp
@@ -9,12 +9,6 @@
 // violation.
 const Duration kLateResponseTolerance{0.5};
 
-// The policy has the same rule in RetrySafety. The guard repeats the rule to stay independent of the policy.
-bool certainlyNotExecuted(Outcome outcome) {
-  return outcome == Outcome::kRejected || outcome == Outcome::kStateLost ||
-         outcome == Outcome::kConnectFailed || outcome == Outcome::kNotSent;
-}
-
 // Only an engine's response proves that an attempt has reached the engine and renewed the state lease.
 bool certainlyArrived(Outcome outcome) { return outcome == Outcome::kRejected || outcome == Outcome::kError; }
 
@@ -56,8 +50,7 @@
   TrackedRequest* const tracked = find(request);
   if (tracked == nullptr || !tracked->attemptInFlight) return;
   const Attempt attempt = *std::exchange(tracked->attemptInFlight, std::nullopt);
-  const bool mayHaveExecuted = attempt.kind == CallKind::kDecode && !certainlyNotExecuted(outcome);
-  if (mayHaveExecuted && !tracked->firstExecution) {
+  if (mayHaveExecuted(attempt.kind, outcome) && !tracked->firstExecution) {
     const auto listed = engines_.find(attempt.engine);
     EngineEntry unlisted;
     unlisted.id = attempt.engine;
@@ -133,8 +126,8 @@
   const TrackedRequest* const tracked = find(request);
   if (tracked == nullptr) return std::nullopt;
   const bool decodeInFlight = tracked->attemptInFlight && tracked->attemptInFlight->kind == CallKind::kDecode;
-  const bool mayHaveExecuted = tracked->firstExecution || decodeInFlight;
-  if (!mayHaveExecuted || isSafeToRetryAnywhere(classOf(*tracked))) return std::nullopt;
+  const bool isPossiblyExecuted = tracked->firstExecution || decodeInFlight;
+  if (!isPossiblyExecuted || isSafeToRetryAnywhere(classOf(*tracked))) return std::nullopt;
   return count(Violation::kRejectedAfterStart);
 }
 
--- a/tests/client_endings_test.cpp
+++ b/tests/client_endings_test.cpp
@@ -88,6 +88,7 @@
   const auto again = sendFromNewClient(chatRequest("once", "", "pay"));
   advance(1);
   EXPECT_EQ(attemptCount(decodeEngine), 1U);
+  EXPECT_TRUE(again->hasReceived("HTTP/1.1 502"));  // 503 would say that it has not run
 }
 
 // A client may pipeline only a limited number of bytes behind an open request. Bytes beyond the limit must
