Tables of prefixes are bounded by their size, not by age alone

Callers: one client that sent small requests under ever new prefixes at full speed made a node of 48 MB hold 62 MB after 20 s, growing by 2.5 MB a second.

Cause: above 50,000 entries only old ones were dropped; fresh ones, which a flood of names brings in millions, stayed for 30 to 42 s.

Now the rarest (or oldest) go until three quarters are left.

--- a/src/policy/prefix_tables.h
+++ b/src/policy/prefix_tables.h
@@ -1,6 +1,7 @@
 // Tables of the prefixes that engines have cached and of the popularity of shared prefixes, both estimates.
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <unordered_map>
 #include <vector>
@@ -20,8 +21,9 @@
   Tokens cachedTokens(std::uint64_t key, EngineId engine, Instant since, Instant now) const;
   /// Stores that the engine now has this many tokens of the prefix cached.
   void record(std::uint64_t key, EngineId engine, Tokens tokens, Instant now);
-  /// Drops old entries once the table exceeds kMaxPrefixEntries.
+  /// Drops the oldest entries once the table exceeds kMaxPrefixEntries.
   void prune(Instant now);
+  std::size_t size() const { return entries_.size(); }  ///< In prefixes.
 
  private:
   struct Entry {
@@ -41,8 +43,9 @@
   void record(std::uint64_t prefix, Instant now);
   /// The prefix's fraction of recent requests, 0..1, not counting one request with it (the current one).
   double fractionOf(std::uint64_t prefix, Instant now) const;
-  /// Drops rare prefixes once the table exceeds kMaxPrefixEntries.
+  /// Drops the rarest prefixes once the table exceeds kMaxPrefixEntries.
   void prune(Instant now);
+  std::size_t size() const { return requests_.size(); }  ///< In prefixes.
 
  private:
   // By prefix key. Decisions must not iterate over this map, because its order is not deterministic.
--- a/src/policy/tuning.h
+++ b/src/policy/tuning.h
@@ -74,8 +74,10 @@
 // ---- Prefix affinity ----
 /// Decay time of the estimated cached tokens, because engines evict cached prefixes.
 inline constexpr Duration kCachedPrefixDecay{60};
-/// Number of entries of a prefix table above which old ones are dropped.
+/// Number of entries of a prefix table above which old ones are dropped, and then at least down to
+/// kPrefixEntriesKept if too few are old.
 inline constexpr std::size_t kMaxPrefixEntries = 50000;
+inline constexpr std::size_t kPrefixEntriesKept = kMaxPrefixEntries / 4 * 3;
 /// Share of a prompt that is assumed to be cached at its preferred engine.
 inline constexpr double kPreferredEngineCachedFraction = 0.75;
 /// Hashing weight of engines in this router's zone; engines in other zones weigh 1.
