A request's time runs while it waits behind another one on its connection

Cause: the time was counted from the dispatch; nothing kept when the bytes had arrived. ArrivalTimes keeps that for the bytes that wait (256 pieces at most); the wait is taken off the request's time, and 503 is sent if none is left.

--- a/src/http1/server.h
+++ b/src/http1/server.h
@@ -50,6 +50,7 @@
  public:
   explicit Exchange(ServerConnection* connection) : connection_(connection) {}
   Request request;
+  Duration waited{0};  ///< Since its last byte arrived, behind another request on its connection.
   /// Called when the connection is closed before the response is complete: the client disconnected, or did
   /// not read the response.
   std::function<void()> onClientDisconnected;
--- a/src/http1/server_connection.cpp
+++ b/src/http1/server_connection.cpp
@@ -213,6 +213,7 @@
     if (state_.isResponding()) return handleEvent(ServerEvent::kPeerClosed);
     return rejectInput(kContentTooLarge);
   }
+  arrivalTimes_.record(bytes.size(), server_.loop_.now());
   updateCharges();
   if (exchange_) return setReadingPaused(isPipelineFull());
   if (state_.phase() == ServerPhase::kIdle && isOutputFull()) return setReadingPaused(true);
@@ -249,6 +250,7 @@
 
 void ServerConnection::parseInput() {
   const ParseState parsed = parser_.parse();
+  lastByteArrivedAt_ = arrivalTimes_.onParsed(parser_.unparsedBytes());
   updateCharges();
   if (parsed == ParseState::kMalformed) return rejectInput(parser_.errorStatus());
   if (parsed == ParseState::kComplete) return handleEvent(ServerEvent::kRequestComplete);
@@ -260,6 +262,7 @@
   const auto exchange = std::make_shared<Exchange>(this);
   exchange_ = exchange;
   exchange->request = std::move(parser_.request());
+  exchange->waited = server_.loop_.now() - lastByteArrivedAt_;
   keepAlive_ = exchange->request.keepAlive;
   parser_.startNextRequest();
   updateCharges();
--- a/src/http1/server_connection.h
+++ b/src/http1/server_connection.h
@@ -8,6 +8,7 @@
 #include <string_view>
 #include <tuple>
 
+#include "http1/arrival_times.h"
 #include "http1/connection_state.h"
 #include "http1/parser.h"
 #include "http1/server.h"
@@ -104,6 +105,7 @@
   Server& server_;
   net::Connection connection_;
   RequestParser parser_;
+  ArrivalTimes arrivalTimes_;
   ServerConnectionState state_;
   net::MemoryCharge connectionCharge_, inputCharge_, requestCharge_;
   std::shared_ptr<Exchange> exchange_;  // null while no request is in progress
@@ -115,6 +117,7 @@
   int rejectStatus_;
   const Instant acceptedAt_;
   Instant phaseStartedAt_;
+  Instant lastByteArrivedAt_{};      // of what has been parsed
   Instant lastProgressAt_{};         // when output was last sent, or none was pending
   std::uint64_t lastSentBytes_ = 0;  // the connection's count at the last check of the time limits
   std::uint64_t discardedBytes_ = 0;
--- a/src/platform/frontend.cpp
+++ b/src/platform/frontend.cpp
@@ -173,6 +173,11 @@
     return;
   }
   router::NewRequest& request = std::get<router::NewRequest>(parsed);
+  request.timeUntilDeadline -= exchange->waited;
+  if (request.timeUntilDeadline <= Duration(0)) {
+    reject(*exchange, {kServiceUnavailable, "the request's time was over before its turn came"});
+    return;
+  }
   if (openRequestIds_.count(request.id) > 0) {
     reject(*exchange, {kConflict, "X-Call-Id is that of an open request"});
     return;
--- a/tests/client_endings_test.cpp
+++ b/tests/client_endings_test.cpp
@@ -76,6 +76,22 @@
   EXPECT_EQ(attemptCount(prefillEngine), 1U);
 }
 
+// A request's time is counted from its last byte, also while it waits behind another one on its connection.
+TEST_F(ClientEndingsTest, SubtractsTheTimeBehindAnotherRequestFromTheBudget) {
+  startNode();
+  const auto peer = startStream("first");
+  peer->send(chatRequest("second", "", "chat", "3000") + chatRequest("over", "", "chat", "900"));
+  advance(1);
+  latestDecodePeer().send(chunkOf(kDone) + "0\r\n\r\n");
+  ASSERT_TRUE(becomesTrueWithin(1, [&] { return attemptCount(decodeEngine) == 2; }));
+  EXPECT_LE(budgets(prefillEngine).back(), 2000);
+  EXPECT_LE(budgets(decodeEngine).back(), 2000);
+  runUntilIdle();
+  latestDecodePeer().send(chunkOf(kDone) + "0\r\n\r\n");
+  EXPECT_TRUE(becomesTrueWithin(1, [&] { return peer->hasReceived("HTTP/1.1 503"); }));
+  EXPECT_EQ(attemptCount(prefillEngine), 2U) << "a request whose time is over must not be sent";
+}
+
 // An unsafe request whose write has begun may have run, though its client has left: if it comes again with
 // the same id, it must not be written a second time.
 TEST_F(ClientEndingsTest, WritesUnsafeRequestOnceWhenItComesAgainAfterItsClientLeft) {
